--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: run run-redda test lint check-tests clean
+
+run: $(STAMP)
+	$(BIN)/python -m examples.run --user consorcio
+
+run-redda: $(STAMP)
+	$(BIN)/python -m examples.run --user redda
+
+test: lint check-tests
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/flake8 .
+	$(BIN)/mypy
+
+check-tests: $(STAMP)
+	$(BIN)/python -m tests.run
+
+$(STAMP): pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --editable '.[dev]'
+	touch $@
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/celeryturn/cli.py
@@ -0,0 +1,293 @@
+"""The operators' and callers' command-line tool: ``celeryturn``."""
+
+import asyncio
+import sys
+import uuid
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Final
+from urllib.parse import urlencode
+
+import fire
+import msgspec
+import yaml
+
+from celeryturn import tables
+from celeryturn.client import ask
+from celeryturn.decisions.document import parse_document
+from celeryturn.errors import CeleryturnError, Kind
+from celeryturn.settings import parse_settings
+
+DEFAULT_AT: Final = '127.0.0.1:7101'
+DEFAULT_DEADLINE_SECONDS: Final = 2.0
+DEFAULT_RECORDS: Final = 100
+
+
+def check(path: str) -> str:
+    """Check a settings file or a configuration document, without a daemon.
+
+    Every fault is reported at once, with the path of its field.
+
+    :param path: A YAML or JSON file.
+    """
+    raw = _read_file(path)
+    if isinstance(raw, dict) and 'service' in raw:
+        published = parse_document(msgspec.json.encode(raw))
+        document = published.document
+        return (
+            f'{path}: valid configuration of {document.service}, '
+            f'version {document.version}'
+        )
+    settings = parse_settings(raw, path)
+    return f'{path}: valid settings of {settings.instance}'
+
+
+def search(
+    service: str,
+    text: str = '',
+    limit: int = DEFAULT_RECORDS,
+    deadline_seconds: float = DEFAULT_DEADLINE_SECONDS,
+    at: str = DEFAULT_AT,
+    json: bool = False,
+) -> str:
+    """Search all shards of a service.
+
+    :param service: Name of the service.
+    :param text: Text that records must contain.
+    :param limit: Most records wanted.
+    :param deadline_seconds: Longest wait.
+    :param at: ADDRESS:PORT of an instance.
+    :param json: Print the answer as JSON.
+    """
+    body = {
+        'service': str(service),
+        'text': str(text),
+        'limit_count': limit,
+        'deadline_seconds': deadline_seconds,
+    }
+    answer = _ask(at, 'POST', '/v1/search', body)
+    return _show(answer, tables.answer_text, json)
+
+
+def quickcheck(
+    service: str,
+    site: str = '',
+    deadline_seconds: float = DEFAULT_DEADLINE_SECONDS,
+    at: str = DEFAULT_AT,
+    json: bool = False,
+) -> str:
+    """Ask for the next free place, at one site or anywhere.
+
+    :param service: Name of the service.
+    :param site: Site, which is the part of keys before the first slash.
+    :param deadline_seconds: Longest wait.
+    :param at: ADDRESS:PORT of an instance.
+    :param json: Print the answer as JSON.
+    """
+    body = {
+        'service': str(service),
+        'site': str(site),
+        'deadline_seconds': deadline_seconds,
+    }
+    answer = _ask(at, 'POST', '/v1/quickcheck', body)
+    return _show(answer, tables.answer_text, json)
+
+
+def record(
+    service: str,
+    key: str,
+    deadline_seconds: float = DEFAULT_DEADLINE_SECONDS,
+    at: str = DEFAULT_AT,
+    json: bool = False,
+) -> str:
+    """Read one record.
+
+    :param service: Name of the service.
+    :param key: Key of the record.
+    :param deadline_seconds: Longest wait.
+    :param at: ADDRESS:PORT of an instance.
+    :param json: Print the answer as JSON.
+    """
+    body = {
+        'service': str(service),
+        'key': str(key),
+        'deadline_seconds': deadline_seconds,
+    }
+    answer = _ask(at, 'POST', '/v1/record', body)
+    return _show(answer, tables.answer_text, json)
+
+
+def book(
+    service: str,
+    key: str,
+    places: int = 1,
+    booking_id: str = '',
+    deadline_seconds: float = DEFAULT_DEADLINE_SECONDS,
+    at: str = DEFAULT_AT,
+    json: bool = False,
+) -> str:
+    """Book places of one record; it is run at most once.
+
+    Exit code 6 means that it is not known whether it was run.
+
+    :param service: Name of the service.
+    :param key: Key of the record.
+    :param places: How many places.
+    :param booking_id: Identifier; a new one by default.
+    :param deadline_seconds: Longest wait.
+    :param at: ADDRESS:PORT of an instance.
+    :param json: Print the answer as JSON.
+    """
+    body = {
+        'service': str(service),
+        'key': str(key),
+        'places_count': places,
+        'booking_id': str(booking_id) or str(uuid.uuid4()),
+        'deadline_seconds': deadline_seconds,
+    }
+    answer = _ask(at, 'POST', '/v1/book', body)
+    return _show(answer, tables.booking_text, json)
+
+
+def addresses(
+    caller: str = '', zone: str = '', at: str = DEFAULT_AT, json: bool = False
+) -> str:
+    """Ask which addresses to use.
+
+    :param caller: Identifier of the caller; the same one gets the same.
+    :param zone: Availability zone of the caller.
+    :param at: ADDRESS:PORT of any instance.
+    :param json: Print the answer as JSON.
+    """
+    query = urlencode({'caller': str(caller), 'zone': str(zone)})
+    answer = _ask(at, 'GET', f'/v1/addresses?{query}')
+    return _show(answer, tables.advice_text, json)
+
+
+def state(at: str = DEFAULT_AT, all: bool = False, json: bool = False) -> str:
+    """Dump the state of one instance, or of all it knows.
+
+    :param at: ADDRESS:PORT of an instance.
+    :param all: Ask every instance that it believes live.
+    :param json: Print the dumps as JSON.
+    """
+    dumps = _states(at) if all else [_ask(at, 'GET', '/v1/state')]
+    return _show(dumps, _states_text, json)
+
+
+def config(at: str = DEFAULT_AT, json: bool = False) -> str:
+    """Show the configuration in force at every instance, and who is behind.
+
+    :param at: ADDRESS:PORT of any instance.
+    :param json: Print versions by instance as JSON.
+    """
+    dumps = _states(at)
+    if json:
+        versions = {
+            dump['instance']: {
+                name: service['configuration_version']
+                for name, service in dump['services'].items()
+            }
+            for dump in dumps
+        }
+        return _json(versions)
+    return tables.versions_text(dumps)
+
+
+def explain(
+    service: str,
+    kind: str = 'search',
+    key: str = '',
+    at: str = DEFAULT_AT,
+    json: bool = False,
+) -> str:
+    """Show how a query would be run: which shards, which replicas, why.
+
+    :param service: Name of the service.
+    :param kind: search, quickcheck or record.
+    :param key: Key of a record, or a site.
+    :param at: ADDRESS:PORT of an instance.
+    :param json: Print the plan as JSON.
+    """
+    query = urlencode({'service': service, 'kind': kind, 'key': str(key)})
+    plan = _ask(at, 'GET', f'/v1/explain?{query}')
+    return _show(plan, tables.explanation_text, json)
+
+
+def drain(at: str = DEFAULT_AT) -> str:
+    """Begin a graceful shutdown of one instance.
+
+    :param at: ADDRESS:PORT of the instance.
+    """
+    _ask(at, 'POST', '/v1/drain')
+    return f'{at} is leaving; it serves until kept advice has run out'
+
+
+def main() -> None:
+    """Entry point of the command-line tool."""
+    commands = (
+        check,
+        search,
+        quickcheck,
+        record,
+        book,
+        addresses,
+        state,
+        config,
+        explain,
+        drain,
+    )
+    try:
+        fire.Fire(
+            {command.__name__: command for command in commands},
+            name='celeryturn',
+        )
+    except CeleryturnError as error:
+        sys.stderr.write(f'{error}\n')
+        sys.exit(error.answer.exit_code)
+    except KeyboardInterrupt:
+        sys.exit(1)
+
+
+def _ask(at: str, method: str, url: str, body: object = None) -> Any:
+    return asyncio.run(ask(at, method, url, body))
+
+
+def _states(at: str) -> list[Any]:
+    first = _ask(at, 'GET', '/v1/state')
+    dumps = []
+    for member in first['members'].values():
+        if member['status'] == 'gone':
+            continue
+        place = f'{member["address"]}:{member["callers_port"]}'
+        try:
+            dumps.append(_ask(place, 'GET', '/v1/state'))
+        except CeleryturnError as error:
+            sys.stderr.write(f'{member["instance"]}: {error}\n')
+    return dumps
+
+
+def _states_text(dumps: list[Any]) -> str:
+    return '\n\n\n'.join(tables.state_text(dump) for dump in dumps)
+
+
+def _show(answer: Any, render: Callable[[Any], str], as_json: bool) -> str:
+    return _json(answer) if as_json else render(answer)
+
+
+def _json(answer: object) -> str:
+    encoded = msgspec.json.encode(answer)
+    return msgspec.json.format(encoded, indent=2).decode()
+
+
+def _read_file(path: str) -> object:
+    try:
+        return yaml.safe_load(Path(path).read_text(encoding='utf-8'))
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        raise CeleryturnError(
+            Kind.BAD_REQUEST, f'{path}: cannot be read: {error}'
+        ) from error
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/celeryturn/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Write paths: bookings, and what operators order."""
--- /dev/null
+++ b/celeryturn/daemon.py
@@ -0,0 +1,62 @@
+"""The daemon's command: ``celeryturnd --settings FILE``."""
+
+import asyncio
+import signal
+import sys
+
+import fire
+
+from celeryturn.app import Application
+from celeryturn.errors import CeleryturnError
+from celeryturn.events import START_FAILED, log, log_to
+from celeryturn.settings import Settings, load_settings
+
+
+async def serve(settings: Settings) -> None:
+    """Run one instance until it is told to stop.
+
+    The first SIGTERM or SIGINT begins a graceful shutdown, a second one
+    ends it at once.
+
+    :param settings: Its settings.
+    :raises CeleryturnError: When it cannot start.
+    """
+    application = Application(settings)
+    await application.start()
+    loop = asyncio.get_running_loop()
+    running = loop.create_task(application.run())
+
+    def on_signal() -> None:
+        if application.leaving.is_set():
+            running.cancel()
+        application.drain()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, on_signal)
+    try:
+        await running
+    except asyncio.CancelledError:
+        await application.stop()
+
+
+def run(settings: str) -> None:
+    """Run one instance of the query tier.
+
+    :param settings: Path of its settings file (YAML).
+    """
+    log_to(sys.stdout)
+    try:
+        asyncio.run(serve(load_settings(settings)))
+    except CeleryturnError as error:
+        log(START_FAILED, detail=str(error))
+        sys.stderr.write(f'{error}\n')
+        sys.exit(error.answer.exit_code)
+
+
+def main() -> None:
+    """Entry point of the daemon."""
+    fire.Fire(run, name='celeryturnd')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/celeryturn/decisions/booking.py
@@ -0,0 +1,108 @@
+"""Whether a booking may be written, asked again right before the write."""
+
+from typing import Final, NamedTuple
+
+from celeryturn.decisions.document import Home, ServiceDocument
+from celeryturn.errors import Kind
+
+CLOCK_MARGIN_SECONDS: Final = 1.0
+
+
+class BookingPlan(NamedTuple):
+    """Where a booking is to be written.
+
+    :param booking_id: The caller's identifier.
+    :param service: Name of the service.
+    :param shard: Shard of the record.
+    :param target: The home that was believed at admission.
+    :param epoch: The home's epoch at admission.
+    :param deadline_seconds: Time after which it must not be written.
+    """
+
+    booking_id: str
+    service: str
+    shard: str
+    target: str
+    epoch: int
+    deadline_seconds: float
+
+
+class Belief(NamedTuple):
+    """What an instance believes at the moment of a decision.
+
+    :param document: Configuration of the service in force.
+    :param confirmed_seconds: When that configuration was last known to be
+        the newest.
+    :param target_leaving: Whether the home's target is leaving.
+    """
+
+    document: ServiceDocument
+    confirmed_seconds: float
+    target_leaving: bool
+
+
+class Sending(NamedTuple):
+    """How far the sending of a booking came.
+
+    :param written: Whether any byte may have left.
+    :param said_not_run: Whether the target itself said it was not run.
+    """
+
+    written: bool
+    said_not_run: bool
+
+
+def fresh_seconds(document: ServiceDocument) -> float:
+    """Work out how old a belief may be for a booking to be written.
+
+    A home stays held for the dwell before it moves.  A booking that is
+    written within this bound of a confirmed belief ends, by its deadline,
+    before another home can have taken over.
+
+    :param document: Configuration of the service.
+    :returns: The bound in seconds.
+    """
+    spent_seconds = document.booking_deadline_seconds + CLOCK_MARGIN_SECONDS
+    return document.dwell_seconds - spent_seconds
+
+
+def refuse_write(
+    plan: BookingPlan, belief: Belief, now_seconds: float
+) -> Kind | None:
+    """Decide right before the write whether it must not happen.
+
+    :param plan: The booking, as planned at admission.
+    :param belief: What is believed now.
+    :param now_seconds: A clock reading taken just now.
+    :returns: Why it must not be written, or ``None`` when it may.
+    """
+    if now_seconds >= plan.deadline_seconds:
+        return Kind.DEADLINE_PASSED
+    home = belief.document.homes.get(plan.shard)
+    if home is None:
+        return Kind.NO_HOME
+    age_seconds = now_seconds - belief.confirmed_seconds
+    if age_seconds > fresh_seconds(belief.document):
+        return Kind.STALE_CONFIGURATION
+    return _refuse_home(plan, home, belief)
+
+
+def _refuse_home(plan: BookingPlan, home: Home, belief: Belief) -> Kind | None:
+    if home.step == 'held':
+        return Kind.HOME_HELD
+    if (home.target, home.epoch) != (plan.target, plan.epoch):
+        return Kind.HOME_HELD
+    if belief.target_leaving:
+        return Kind.TARGET_UNAVAILABLE
+    return None
+
+
+def silence_kind(sending: Sending) -> Kind:
+    """Name what is known when no usable answer came.
+
+    :param sending: How far the sending came.
+    :returns: A kind that says *not run* only where that is certain.
+    """
+    if sending.said_not_run or not sending.written:
+        return Kind.TARGET_UNAVAILABLE
+    return Kind.OUTCOME_UNKNOWN
--- /dev/null
+++ b/celeryturn/decisions/freshness.py
@@ -0,0 +1,69 @@
+"""When the configuration in force was last known to be the newest.
+
+The configuration service confirms it directly.  A peer vouches for it: its
+confirmation counts where both hold the same versions, from the moment this
+instance asked, less the age the peer states.
+"""
+
+from typing import Final, NamedTuple
+
+NEVER_SECONDS: Final = float('-inf')
+
+
+class Freshness(NamedTuple):
+    """Confirmations, as times of this instance's clock.
+
+    :param confirmed_seconds: The newest confirmation, from any source.
+    :param highest_revision: Highest revision the service ever showed.
+    """
+
+    confirmed_seconds: float = NEVER_SECONDS
+    highest_revision: int = 0
+
+
+class Vouching(NamedTuple):
+    """What a peer says of its own freshness.
+
+    :param asked_seconds: When this instance asked, by its own clock.
+    :param age_seconds: How old the peer's confirmation was when it replied.
+    :param has_same_versions: Whether both hold the same versions.
+    :param highest_revision: Highest revision the service showed the peer.
+    """
+
+    asked_seconds: float
+    age_seconds: float
+    has_same_versions: bool
+    highest_revision: int
+
+
+def confirm(
+    freshness: Freshness, asked_seconds: float, revision: int
+) -> Freshness:
+    """Take a confirmation of the configuration service in.
+
+    :param freshness: What was known.
+    :param asked_seconds: When the service was asked; its answer may have
+        been given at any time since.
+    :param revision: The revision the service showed.
+    :returns: What is known now; a service that shows an older revision than
+        it did before is stale and confirms nothing.
+    """
+    if revision < freshness.highest_revision:
+        return freshness
+    newest_seconds = max(freshness.confirmed_seconds, asked_seconds)
+    return Freshness(newest_seconds, revision)
+
+
+def vouch(freshness: Freshness, vouching: Vouching) -> Freshness:
+    """Take a peer's word in.
+
+    :param freshness: What was known.
+    :param vouching: What the peer says.
+    :returns: What is known now.
+    """
+    revision = max(freshness.highest_revision, vouching.highest_revision)
+    confirmed_seconds = freshness.confirmed_seconds
+    if vouching.has_same_versions:
+        vouched_seconds = vouching.asked_seconds - vouching.age_seconds
+        confirmed_seconds = max(confirmed_seconds, vouched_seconds)
+    return Freshness(confirmed_seconds, revision)
--- /dev/null
+++ b/celeryturn/decisions/latency.py
@@ -0,0 +1,95 @@
+"""Observed latency of a service: quantiles over a sliding window."""
+
+from typing import Final
+
+from hdrh.histogram import HdrHistogram
+
+MICROSECONDS: Final = 1_000_000
+LONGEST_SECONDS: Final = 60
+WINDOW_SECONDS: Final = 10.0
+REFRESH_SECONDS: Final = 0.5
+FEWEST_SAMPLES: Final = 20
+_DIGITS: Final = 2
+
+
+class LatencyWindow:
+    """Latencies of the current and the previous window.
+
+    :param current: Histogram being filled, in microseconds.
+    :param previous: Histogram of the window before.
+    :param opened_seconds: When the current window was opened.
+    :param refreshed_seconds: When the quantiles were last read.
+    :param cached_seconds: Quantiles as last read, by percentile.
+    """
+
+    __slots__ = (
+        'cached_seconds',
+        'current',
+        'opened_seconds',
+        'previous',
+        'refreshed_seconds',
+    )
+
+    def __init__(self, now_seconds: float) -> None:
+        self.current = _histogram()
+        self.previous = _histogram()
+        self.opened_seconds = now_seconds
+        self.refreshed_seconds = now_seconds
+        self.cached_seconds: dict[float, float] = {}
+
+
+def record(
+    window: LatencyWindow, latency_seconds: float, now_seconds: float
+) -> None:
+    """Count one observed latency.
+
+    :param window: The window of one service.
+    :param latency_seconds: From send to whole reply.
+    :param now_seconds: Time of the reply.
+    """
+    if now_seconds - window.opened_seconds > WINDOW_SECONDS:
+        window.previous = window.current
+        window.current = _histogram()
+        window.opened_seconds = now_seconds
+    bounded = min(max(latency_seconds, 1 / MICROSECONDS), LONGEST_SECONDS)
+    window.current.record_value(int(bounded * MICROSECONDS))
+
+
+def quantile(
+    window: LatencyWindow,
+    percentile: float,
+    now_seconds: float,
+    default_seconds: float,
+) -> float:
+    """Read a quantile, at most a fraction of a second old.
+
+    :param window: The window of one service.
+    :param percentile: Between 0 and 100.
+    :param now_seconds: Time of the question.
+    :param default_seconds: Answer while there are too few samples.
+    :returns: The latency in seconds.
+    """
+    if now_seconds - window.refreshed_seconds > REFRESH_SECONDS:
+        window.cached_seconds.clear()
+        window.refreshed_seconds = now_seconds
+    cached = window.cached_seconds.get(percentile)
+    if cached is None:
+        cached = _read(window, percentile, default_seconds)
+        window.cached_seconds[percentile] = cached
+    return cached
+
+
+def _read(
+    window: LatencyWindow, percentile: float, default_seconds: float
+) -> float:
+    fullest = max(
+        (window.current, window.previous),
+        key=lambda histogram: histogram.get_total_count(),
+    )
+    if fullest.get_total_count() < FEWEST_SAMPLES:
+        return default_seconds
+    return float(fullest.get_value_at_percentile(percentile)) / MICROSECONDS
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(1, LONGEST_SECONDS * MICROSECONDS, _DIGITS)
--- /dev/null
+++ b/celeryturn/entry/__init__.py
@@ -0,0 +1,1 @@
+"""What callers and operators speak to."""
--- /dev/null
+++ b/celeryturn/events.py
@@ -0,0 +1,104 @@
+"""Numbered log events; the catalogue in docs/EVENTS.md lists the same."""
+
+import sys
+from typing import Final, NamedTuple, TextIO
+
+import eliot
+
+
+class Event(NamedTuple):
+    """One kind of log line.
+
+    :param number: Stable number; never used again for another meaning.
+    :param name: Short name.
+    :param meaning: What happened, for the catalogue.
+    """
+
+    number: int
+    name: str
+    meaning: str
+
+
+STARTED: Final = Event(100, 'started', 'The instance listens.')
+READY: Final = Event(101, 'ready', 'Configuration is in force; it serves.')
+LEAVING: Final = Event(102, 'leaving', 'A graceful shutdown began.')
+STOPPED: Final = Event(103, 'stopped', 'Everything is closed.')
+START_FAILED: Final = Event(104, 'start_failed', 'Nothing was started.')
+ADOPTED: Final = Event(200, 'adopted', 'A configuration is in force.')
+NOT_ADOPTED: Final = Event(
+    201, 'not_adopted', 'A published configuration was refused.'
+)
+CONFIGURATION_LOST: Final = Event(
+    202, 'configuration_lost', 'The configuration service does not answer.'
+)
+CONFIGURATION_STALE: Final = Event(
+    203, 'configuration_stale', 'The service shows an older revision.'
+)
+LIST_LOST: Final = Event(
+    204, 'list_lost', 'The list of instances cannot be read.'
+)
+MEMBER_CHANGED: Final = Event(
+    300, 'member_changed', 'The belief about an instance changed.'
+)
+PEER_REFUSED: Final = Event(
+    301, 'peer_refused', 'A message of a peer was not understood.'
+)
+REFUSED: Final = Event(400, 'refused', 'A request was refused.')
+BOOKING_ENDED: Final = Event(401, 'booking_ended', 'A booking has an outcome.')
+TARGET_LEAVING: Final = Event(
+    500, 'target_leaving', 'A target gets nothing new.'
+)
+TARGET_RETURNED: Final = Event(
+    501, 'target_returned', 'A target that was leaving serves again.'
+)
+INTERNAL_FAULT: Final = Event(
+    900, 'internal_fault', 'A fault of this program; report it.'
+)
+
+
+_CATALOGUE: Final = (
+    STARTED,
+    READY,
+    LEAVING,
+    STOPPED,
+    START_FAILED,
+    ADOPTED,
+    NOT_ADOPTED,
+    CONFIGURATION_LOST,
+    CONFIGURATION_STALE,
+    LIST_LOST,
+    MEMBER_CHANGED,
+    PEER_REFUSED,
+    REFUSED,
+    BOOKING_ENDED,
+    TARGET_LEAVING,
+    TARGET_RETURNED,
+    INTERNAL_FAULT,
+)
+
+
+def all_events() -> list[Event]:
+    """List the catalogue.
+
+    :returns: Every event, by number.
+    """
+    return sorted(_CATALOGUE)
+
+
+def log(event: Event, **fields: object) -> None:
+    """Write one event.
+
+    :param event: Which.
+    :param fields: What else is known, by name.
+    """
+    eliot.log_message(
+        message_type=f'CT{event.number}', event=event.name, **fields
+    )
+
+
+def log_to(stream: TextIO = sys.stderr) -> None:
+    """Send events to a stream, one JSON object a line.
+
+    :param stream: An open text stream.
+    """
+    eliot.to_file(stream)
--- /dev/null
+++ b/celeryturn/http/client.py
@@ -0,0 +1,207 @@
+"""The client side: one connection, one exchange at a time."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, TypeAlias
+
+import h11
+
+from celeryturn.http.messages import HttpReply, HttpRequest
+
+OnDone: TypeAlias = Callable[[HttpReply | Exception], None]
+
+MAX_REPLY_BYTES: Final = 8_000_000
+
+
+class ExchangeError(ConnectionError):
+    """The connection ended or broke the protocol before a whole reply."""
+
+
+class Connection(asyncio.Protocol):
+    """A client connection that is reused only after whole exchanges.
+
+    :param is_open: Whether the transport is up.
+    :param is_written: Whether a byte of the current request was written.
+    """
+
+    def __init__(self, host: str) -> None:
+        self.is_open = False
+        self.is_written = False
+        self._host = host
+        self._machine = h11.Connection(h11.CLIENT)
+        self._transport: asyncio.Transport | None = None
+        self._on_done: OnDone | None = None
+        self._reply = HttpReply(0)
+        self._parts: list[bytes] = []
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether an exchange can be started."""
+        return self.is_open and self._on_done is None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        if isinstance(transport, asyncio.Transport):
+            self._transport = transport
+            self.is_open = True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the exchange under way, if any."""
+        self.is_open = False
+        self._end(ExchangeError(f'connection lost: {exc}'))
+
+    def data_received(self, chunk: bytes) -> None:
+        """Feed the parser and end the exchange when the reply is whole."""
+        self._machine.receive_data(chunk)
+        try:
+            self._read_events()
+        except h11.RemoteProtocolError as error:
+            self._fail(f'not HTTP: {error}')
+
+    def eof_received(self) -> None:
+        """Tell the parser that nothing more comes."""
+        self.data_received(b'')
+
+    def start(self, request: HttpRequest, on_done: OnDone) -> None:
+        """Write a request; the outcome is called back exactly once.
+
+        :param request: What to send.
+        :param on_done: Gets the whole reply, or why there is none.
+        """
+        self._on_done = on_done
+        self._parts.clear()
+        self.is_written = True
+        if self._transport is not None:
+            self._transport.write(self._serialize(request))
+
+    def close(self) -> None:
+        """Close; an exchange under way gets no further reply."""
+        self.is_open = False
+        self._on_done = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def exchange(self, request: HttpRequest) -> HttpReply:
+        """Write a request and wait for its whole reply.
+
+        :param request: What to send.
+        :returns: The reply.
+        :raises ExchangeError: When there is no whole reply.
+        """
+        future = asyncio.get_running_loop().create_future()
+
+        def settle(outcome: HttpReply | Exception) -> None:
+            if future.done():
+                return
+            if isinstance(outcome, Exception):
+                future.set_exception(outcome)
+            else:
+                future.set_result(outcome)
+
+        self.start(request, settle)
+        reply: HttpReply = await future
+        return reply
+
+    def _serialize(self, request: HttpRequest) -> bytes:
+        headers = [
+            ('host', self._host),
+            ('content-length', str(len(request.body))),
+            *request.headers,
+        ]
+        machine = self._machine
+        head = machine.send(
+            h11.Request(
+                method=request.method, target=request.url, headers=headers
+            )
+        )
+        body = machine.send(h11.Data(request.body)) if request.body else b''
+        end = machine.send(h11.EndOfMessage())
+        return b''.join((head or b'', body or b'', end or b''))
+
+    def _read_events(self) -> None:
+        is_more = True
+        while is_more:
+            is_more = self._take_event(self._machine.next_event())
+
+    def _take_event(self, event: object) -> bool:
+        if isinstance(event, h11.Response):
+            self._begin_reply(event)
+        elif isinstance(event, h11.Data):
+            self._parts.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._finish_reply()
+            return False
+        elif isinstance(event, h11.ConnectionClosed):
+            self._fail('closed by the other side')
+            return False
+        return event is not h11.NEED_DATA and event is not h11.PAUSED
+
+    def _begin_reply(self, event: h11.Response) -> None:
+        headers = tuple(
+            (name.decode('latin-1'), text.decode('latin-1'))
+            for name, text in event.headers
+        )
+        self._reply = HttpReply(event.status_code, headers)
+
+    def _finish_reply(self) -> None:
+        reply = self._reply._replace(body=b''.join(self._parts))
+        machine = self._machine
+        if machine.our_state is h11.DONE and machine.their_state is h11.DONE:
+            machine.start_next_cycle()
+        else:
+            self.is_open = False
+            if self._transport is not None:
+                self._transport.close()
+        self._end(reply)
+
+    def _fail(self, detail: str) -> None:
+        self.is_open = False
+        if self._transport is not None:
+            self._transport.abort()
+        self._end(ExchangeError(detail))
+
+    def _end(self, outcome: HttpReply | Exception) -> None:
+        on_done = self._on_done
+        self._on_done = None
+        self.is_written = False
+        if on_done is not None:
+            on_done(outcome)
+
+
+async def connect(
+    address: str, port: int, timeout_seconds: float
+) -> Connection:
+    """Open a connection.
+
+    :param address: IP address.
+    :param port: TCP port.
+    :param timeout_seconds: Longest wait.
+    :returns: An idle connection.
+    :raises OSError: When it cannot be opened in time.
+    """
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(timeout_seconds):
+        _, connection = await loop.create_connection(
+            lambda: Connection(f'{address}:{port}'), address, port
+        )
+    return connection
+
+
+async def fetch(
+    address: str, port: int, request: HttpRequest, timeout_seconds: float
+) -> HttpReply:
+    """Make one exchange on a connection of its own.
+
+    :param address: IP address.
+    :param port: TCP port.
+    :param request: What to send.
+    :param timeout_seconds: Longest wait for the whole.
+    :returns: The reply.
+    :raises OSError: When there is no whole reply in time.
+    """
+    async with asyncio.timeout(timeout_seconds):
+        connection = await connect(address, port, timeout_seconds)
+        try:
+            return await connection.exchange(request)
+        finally:
+            connection.close()
--- /dev/null
+++ b/celeryturn/http/server.py
@@ -0,0 +1,296 @@
+"""The server side: whole requests in, whole replies out."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Final, TypeAlias
+
+import h11
+
+from celeryturn.errors import ANSWERS, CeleryturnError, Kind
+from celeryturn.http.messages import Headers, HttpReply, HttpRequest
+from celeryturn.timer import Timer
+
+Answerer: TypeAlias = Callable[[HttpRequest], Awaitable[HttpReply]]
+Refuser: TypeAlias = Callable[[CeleryturnError], HttpReply]
+
+MAX_BODY_BYTES: Final = 65_536
+MAX_HEAD_BYTES: Final = 16_384
+REQUEST_SECONDS: Final = 5.0
+IDLE_SECONDS: Final = 60.0
+MOST_CONNECTIONS: Final = 4096
+LINGER_SECONDS: Final = 0.2
+
+
+ProtocolMaker: TypeAlias = Callable[['HttpServer'], 'ServerConnection']
+
+
+class Limits:
+    """Bounds of one server.
+
+    :param body_bytes: Largest body.
+    :param request_seconds: Longest time from first byte to whole request.
+    :param idle_seconds: Longest time between requests of a connection.
+    :param most_connections: Connections beyond it are closed at once.
+    """
+
+    __slots__ = (
+        'body_bytes',
+        'idle_seconds',
+        'most_connections',
+        'request_seconds',
+    )
+
+    def __init__(
+        self,
+        body_bytes: int = MAX_BODY_BYTES,
+        request_seconds: float = REQUEST_SECONDS,
+        idle_seconds: float = IDLE_SECONDS,
+        most_connections: int = MOST_CONNECTIONS,
+    ) -> None:
+        self.body_bytes = body_bytes
+        self.request_seconds = request_seconds
+        self.idle_seconds = idle_seconds
+        self.most_connections = most_connections
+
+
+class HttpServer:
+    """A listening server with its connections.
+
+    :param connections: Open connections.
+    :param is_closing: Whether connections end after their reply, so that
+        callers do not come back on them.
+    """
+
+    def __init__(
+        self,
+        answerer: Answerer,
+        refuser: Refuser,
+        limits: Limits | None = None,
+        protocol: 'ProtocolMaker | None' = None,
+    ) -> None:
+        self.answerer = answerer
+        self.refuser = refuser
+        self.limits = limits or Limits()
+        self.connections: set[ServerConnection] = set()
+        self.is_closing = False
+        self._protocol = protocol or ServerConnection
+        self._listener: asyncio.Server | None = None
+
+    async def start(self, address: str, port: int) -> None:
+        """Listen.
+
+        :param address: IP address.
+        :param port: TCP port; 0 lets the system choose.
+        :raises OSError: When the port is in use.
+        """
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            lambda: self._protocol(self), address, port
+        )
+
+    @property
+    def port(self) -> int:
+        """The port it listens on."""
+        if self._listener is None:
+            return 0
+        port: int = self._listener.sockets[0].getsockname()[1]
+        return port
+
+    async def stop(self, grace_seconds: float) -> None:
+        """Take no new connection, finish what is in flight, close.
+
+        A request that is on its way on an open connection when this begins
+        is still answered: idle connections linger for a moment.
+
+        :param grace_seconds: Longest wait for requests in flight.
+        """
+        self.is_closing = True
+        if self._listener is not None:
+            self._listener.close()
+        if self.connections and grace_seconds:
+            await asyncio.sleep(min(LINGER_SECONDS, grace_seconds))
+        for connection in tuple(self.connections):
+            connection.close_when_idle()
+        running = {
+            busy.task for busy in self.connections if busy.task is not None
+        }
+        if running:
+            await asyncio.wait(running, timeout=grace_seconds)
+        for left in tuple(self.connections):
+            left.close()
+
+
+class ServerConnection(asyncio.Protocol):
+    """One caller's connection; requests are answered in order.
+
+    :param task: The request being answered, if any.
+    """
+
+    def __init__(self, server: HttpServer) -> None:
+        self.task: asyncio.Task[None] | None = None
+        self._server = server
+        self._machine = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._transport: asyncio.Transport | None = None
+        self._timer = Timer()
+        self._request: HttpRequest | None = None
+        self._parts: list[bytes] = []
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport and start to wait for a request."""
+        if isinstance(transport, asyncio.Transport):
+            self._transport = transport
+        self._server.connections.add(self)
+        if len(self._server.connections) > self._server.limits.most_connections:
+            self.close()
+        self._timer.arm(self._server.limits.idle_seconds, self.close)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the request under way: its caller has gone."""
+        self._timer.disarm()
+        self._server.connections.discard(self)
+        if self.task is not None:
+            self.task.cancel()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Feed the parser."""
+        if self._request is None and self.task is None:
+            seconds = self._server.limits.request_seconds
+            self._timer.arm(seconds, self._refuse_slow)
+        self._machine.receive_data(chunk)
+        self._pump()
+
+    def close(self) -> None:
+        """Close at once."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def close_when_idle(self) -> None:
+        """Close now, or after the request under way."""
+        if self.task is None and self._request is None:
+            self.close()
+
+    def _pump(self) -> None:
+        try:
+            self._read_events()
+        except h11.RemoteProtocolError as error:
+            self._refuse(_protocol_error(error))
+        except CeleryturnError as error:
+            self._refuse(error)
+
+    def _read_events(self) -> None:
+        is_more = True
+        while is_more and self.task is None:
+            is_more = self._take_event(self._machine.next_event())
+
+    def _take_event(self, event: object) -> bool:
+        if event is h11.NEED_DATA or event is h11.PAUSED:
+            return False
+        if isinstance(event, h11.Request):
+            self._begin_request(event)
+        elif isinstance(event, h11.Data):
+            self._take_part(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._finish_request()
+        else:
+            self.close()
+            return False
+        return True
+
+    def _begin_request(self, event: h11.Request) -> None:
+        self._parts.clear()
+        self._request = HttpRequest(
+            event.method.decode('latin-1'),
+            event.target.decode('latin-1'),
+            _decode_headers(event),
+        )
+        if self._machine.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            self._write(self._machine.send(go_on))
+
+    def _take_part(self, part: bytes) -> None:
+        self._parts.append(part)
+        size_bytes = sum(len(known) for known in self._parts)
+        limit_bytes = self._server.limits.body_bytes
+        if size_bytes > limit_bytes:
+            raise CeleryturnError(
+                Kind.TOO_LARGE, f'a body may have {limit_bytes} bytes'
+            )
+
+    def _finish_request(self) -> None:
+        self._timer.disarm()
+        if self._request is not None:
+            request = self._request._replace(body=b''.join(self._parts))
+            self.task = asyncio.get_running_loop().create_task(
+                self._answer(request)
+            )
+
+    async def _answer(self, request: HttpRequest) -> None:
+        try:
+            reply = await self._server.answerer(request)
+        except CeleryturnError as error:
+            reply = self._server.refuser(error)
+        self.task = None
+        self._request = None
+        self._write_reply(reply, is_last=self._server.is_closing)
+        self._go_on()
+
+    def _go_on(self) -> None:
+        machine = self._machine
+        if machine.our_state is h11.DONE and machine.their_state is h11.DONE:
+            machine.start_next_cycle()
+            self._timer.arm(self._server.limits.idle_seconds, self.close)
+            self._pump()
+        else:
+            self.close()
+
+    def _refuse_slow(self) -> None:
+        seconds = self._server.limits.request_seconds
+        self._refuse(
+            CeleryturnError(
+                Kind.SLOW_REQUEST, f'not whole after {seconds} seconds'
+            )
+        )
+
+    def _refuse(self, error: CeleryturnError) -> None:
+        self._timer.disarm()
+        if self._machine.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
+            self._write_reply(self._server.refuser(error), is_last=True)
+        self.close()
+
+    def _write_reply(self, reply: HttpReply, *, is_last: bool) -> None:
+        headers = [
+            ('content-length', str(len(reply.body))),
+            *reply.headers,
+        ]
+        if is_last:
+            headers.append(('connection', 'close'))
+        machine = self._machine
+        head = machine.send(
+            h11.Response(status_code=reply.status, headers=headers)
+        )
+        body = machine.send(h11.Data(reply.body)) if reply.body else b''
+        end = machine.send(h11.EndOfMessage())
+        self._write(b''.join((head or b'', body or b'', end or b'')))
+
+    def _write(self, encoded: bytes | None) -> None:
+        if encoded and self._transport is not None:
+            self._transport.write(encoded)
+
+
+def _decode_headers(event: h11.Request) -> Headers:
+    return tuple(
+        (name.decode('latin-1'), text.decode('latin-1'))
+        for name, text in event.headers
+    )
+
+
+def _protocol_error(error: h11.RemoteProtocolError) -> CeleryturnError:
+    kind = Kind.BAD_REQUEST
+    if error.error_status_hint in {
+        ANSWERS[Kind.TOO_LARGE].status,
+        431,
+    }:
+        kind = Kind.TOO_LARGE
+    return CeleryturnError(kind, f'not HTTP: {error}')
--- /dev/null
+++ b/celeryturn/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Instance to instance: CBOR messages on websockets."""
--- /dev/null
+++ b/celeryturn/peers/network.py
@@ -0,0 +1,301 @@
+"""Links to other instances: dial neighbours, accept others, spread news."""
+
+import asyncio
+from collections.abc import Iterable
+from typing import Final, TypeAlias
+
+from websockets.asyncio.client import ClientConnection, connect
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import WebSocketException
+
+from celeryturn.decisions import membership
+from celeryturn.decisions.document import Published
+from celeryturn.errors import CeleryturnError
+from celeryturn.events import PEER_REFUSED, log
+from celeryturn.instance import Instance, log_members, versions_of
+from celeryturn.peers import messages
+from celeryturn.peers.dialogue import reply_to
+from celeryturn.platform.watcher import share_anew
+
+Socket: TypeAlias = ClientConnection | ServerConnection
+
+MOST_QUEUED: Final = 1024
+DIAL_SECONDS: Final = 2.0
+IDLE_SECONDS: Final = 10.0
+
+
+class PeerLink:
+    """One link.
+
+    :param socket: The websocket.
+    :param instance: Name of the peer, once it has said hello.
+    :param queue: Messages to be sent, oldest first.
+    """
+
+    __slots__ = ('instance', 'queue', 'socket')
+
+    def __init__(self, socket: Socket, instance: str = '') -> None:
+        self.socket = socket
+        self.instance = instance
+        self.queue: asyncio.Queue[messages.Message] = asyncio.Queue(MOST_QUEUED)
+
+
+class Network:
+    """All links of an instance.
+
+    :param instance: The instance.
+    :param links: Open links, dialled and accepted.
+    :param dialling: Tasks of dialled links, by name of the peer.
+    :param watched: Neighbours whose silence counts.
+    :param first_heard: Set when a peer has told its versions.
+    :param server: Accepts links, once started.
+    """
+
+    __slots__ = (
+        'dialling',
+        'first_heard',
+        'instance',
+        'links',
+        'server',
+        'watched',
+    )
+
+    def __init__(self, instance: Instance) -> None:
+        self.instance = instance
+        self.links: set[PeerLink] = set()
+        self.dialling: dict[str, asyncio.Task[None]] = {}
+        self.watched: set[str] = set()
+        self.first_heard = asyncio.Event()
+        self.server: Server | None = None
+        instance.on_adopted.append(lambda adopted: _on_adopted(self, adopted))
+
+
+async def listen(network: Network) -> None:
+    """Accept links.
+
+    :param network: The network.
+    :raises OSError: When the port is in use.
+    """
+    endpoint = network.instance.settings.peers
+    network.server = await serve(
+        lambda socket: _run_link(network, PeerLink(socket)),
+        endpoint.address,
+        endpoint.port,
+        max_size=messages.MAX_MESSAGE_BYTES,
+        compression=None,
+        ping_interval=None,
+    )
+
+
+async def gossip(network: Network) -> None:
+    """Dial neighbours, ask all peers, note who is silent; until cancelled.
+
+    :param network: The network.
+    """
+    instance = network.instance
+    every_seconds = instance.settings.timing.gossip_every_seconds
+    while not instance.is_closing:
+        dial_neighbours(network)
+        ping = messages.Ping(instance.clock())
+        broadcast(network, ping)
+        changed = membership.tick(
+            instance.membership, network.watched, instance.clock()
+        )
+        spread(network, changed)
+        await asyncio.sleep(every_seconds)
+
+
+def dial_neighbours(network: Network) -> None:
+    """Keep a link to each neighbour, and try one that is thought gone.
+
+    :param network: The network.
+    """
+    instance = network.instance
+    count = instance.settings.neighbour_count
+    wanted = membership.neighbours_of(instance.membership, count)
+    revived = membership.one_gone(instance.membership, instance.random())
+    _watch(network, set(wanted))
+    for name in (*wanted, *revived):
+        if name not in network.dialling:
+            task = asyncio.get_running_loop().create_task(_dial(network, name))
+            network.dialling[name] = task
+    for left in set(network.dialling) - set(wanted) - set(revived):
+        network.dialling[left].cancel()
+
+
+def broadcast(
+    network: Network, message: messages.Message, but: PeerLink | None = None
+) -> None:
+    """Queue a message on every link.
+
+    :param network: The network.
+    :param message: The message.
+    :param but: A link to leave out.
+    """
+    for link in network.links:
+        if link is not but:
+            put(link, message)
+
+
+def spread(
+    network: Network,
+    changed: list[membership.Member],
+    but: PeerLink | None = None,
+) -> None:
+    """Tell peers what changed in the beliefs about instances.
+
+    :param network: The network.
+    :param changed: Entries that changed.
+    :param but: The link they came from, if any.
+    """
+    if changed:
+        log_members(changed)
+        share_anew(network.instance)
+        broadcast(network, messages.Members(tuple(changed)), but)
+
+
+def put(link: PeerLink, message: messages.Message) -> None:
+    """Queue a message; a link that cannot keep up is closed.
+
+    :param link: The link.
+    :param message: The message.
+    """
+    try:
+        link.queue.put_nowait(message)
+    except asyncio.QueueFull:
+        link.socket.transport.abort()
+
+
+async def close_network(network: Network) -> None:
+    """Close every link.
+
+    :param network: The network.
+    """
+    for task in tuple(network.dialling.values()):
+        task.cancel()
+    await asyncio.gather(*network.dialling.values(), return_exceptions=True)
+    if network.server is not None:
+        network.server.close()
+        await network.server.wait_closed()
+
+
+async def flush(network: Network, timeout_seconds: float) -> None:
+    """Wait until what is queued has been written.
+
+    :param network: The network.
+    :param timeout_seconds: Longest wait.
+    """
+    joins = [
+        asyncio.get_running_loop().create_task(link.queue.join())
+        for link in network.links
+    ]
+    if joins:
+        _, pending = await asyncio.wait(joins, timeout=timeout_seconds)
+        for join in pending:
+            join.cancel()
+
+
+def _watch(network: Network, wanted: set[str]) -> None:
+    # The silence of a new neighbour counts from now, not from its last word.
+    instance = network.instance
+    for name in wanted - network.watched:
+        membership.heard(instance.membership, name, instance.clock())
+    network.watched = wanted
+
+
+async def _dial(network: Network, name: str) -> None:
+    try:
+        await _dial_once(network, name)
+    except (OSError, WebSocketException):
+        await asyncio.sleep(network.instance.random())
+    finally:
+        network.dialling.pop(name, None)
+
+
+async def _dial_once(network: Network, name: str) -> None:
+    member = network.instance.membership.members.get(name)
+    if member is None:
+        return
+    async with connect(
+        _url(member),
+        max_size=messages.MAX_MESSAGE_BYTES,
+        compression=None,
+        ping_interval=None,
+        open_timeout=DIAL_SECONDS,
+        close_timeout=1,
+        proxy=None,
+    ) as socket:
+        await _run_link(network, PeerLink(socket, name))
+
+
+def _url(member: membership.Member) -> str:
+    host = member.address
+    if ':' in host:
+        host = f'[{host}]'
+    return f'ws://{host}:{member.peers_port}/'
+
+
+async def _run_link(network: Network, link: PeerLink) -> None:
+    instance = network.instance
+    network.links.add(link)
+    writer = asyncio.get_running_loop().create_task(_write(link))
+    put(link, messages.Hello(instance.settings.instance))
+    known = tuple(instance.membership.members.values())
+    put(link, messages.Members(known))
+    put(link, messages.Versions(versions_of(instance)))
+    try:
+        await _read(network, link)
+    except CeleryturnError as error:
+        log(PEER_REFUSED, peer=link.instance, detail=str(error))
+    except (OSError, WebSocketException):
+        return
+    finally:
+        writer.cancel()
+        network.links.discard(link)
+
+
+async def _write(link: PeerLink) -> None:
+    while True:
+        message = await link.queue.get()
+        try:
+            await link.socket.send(messages.pack(message))
+        except (OSError, WebSocketException):
+            link.socket.transport.abort()
+            return
+        finally:
+            link.queue.task_done()
+
+
+async def _read(network: Network, link: PeerLink) -> None:
+    while True:
+        async with asyncio.timeout(IDLE_SECONDS):
+            encoded = await link.socket.recv(decode=False)
+        _take(network, link, messages.unpack(bytes(encoded)))
+
+
+def _take(network: Network, link: PeerLink, message: messages.Message) -> None:
+    instance = network.instance
+    if isinstance(message, messages.Hello):
+        link.instance = message.instance
+    if isinstance(message, messages.Versions):
+        network.first_heard.set()
+    if link.instance:
+        membership.heard(instance.membership, link.instance, instance.clock())
+    if isinstance(message, messages.Members):
+        _take_members(network, link, message.members)
+        return
+    for reply in reply_to(instance, message):
+        put(link, reply)
+
+
+def _take_members(
+    network: Network, link: PeerLink, offered: Iterable[membership.Member]
+) -> None:
+    instance = network.instance
+    changed = membership.take_in(instance.membership, offered, instance.clock())
+    spread(network, changed, link)
+
+
+def _on_adopted(network: Network, published: Published) -> None:
+    document = published.document
+    broadcast(network, messages.Versions({document.service: document.version}))
--- /dev/null
+++ b/celeryturn/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: read and watch, never write."""
--- /dev/null
+++ b/celeryturn/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Read paths: they change nothing at the targets."""
--- /dev/null
+++ b/celeryturn/queries/dump.py
@@ -0,0 +1,148 @@
+"""The state of one process, every table with its bound."""
+
+from typing import NamedTuple
+
+from celeryturn.decisions import budget, bookings, limits, membership
+from celeryturn.decisions.fleet import ServiceState
+from celeryturn.decisions.views import TargetView
+from celeryturn.instance import MOST_SERVICES, Instance
+from celeryturn.targets import links
+
+
+class TargetDump(NamedTuple):
+    """What is believed of one target."""
+
+    availability_zone: str
+    in_flight: int
+    waiting: int
+    limit: float
+    share: int
+    latency_seconds: float
+    failure_count: int
+    is_leaving: bool
+    newest_snapshot: int
+
+
+class ServiceDump(NamedTuple):
+    """What is held of one service."""
+
+    configuration_version: int
+    serving_index: int
+    snapshot: int
+    extra_load_tokens: float
+    needed_count: int
+    extra_count: int
+    targets: dict[str, TargetDump]
+
+
+class Bound(NamedTuple):
+    """Size of a table, and the most it may hold."""
+
+    held: int
+    most: int
+
+
+class StateDump(NamedTuple):
+    """State of one instance."""
+
+    instance: str
+    availability_zone: str
+    incarnation: int
+    is_ready: bool
+    is_leaving: bool
+    configuration_age_seconds: float | None
+    highest_revision: int
+    services: dict[str, ServiceDump]
+    members: dict[str, membership.Member]
+    live_count: int
+    tables: dict[str, Bound]
+
+
+def dump(instance: Instance, target_links: links.Links) -> StateDump:
+    """Dump the state of this process.
+
+    :param instance: The instance.
+    :param target_links: Links to targets.
+    :returns: Its state.
+    """
+    return StateDump(
+        instance=instance.settings.instance,
+        availability_zone=instance.settings.availability_zone,
+        incarnation=instance.membership.own.incarnation,
+        is_ready=instance.is_ready,
+        is_leaving=instance.is_leaving,
+        configuration_age_seconds=configuration_age_seconds(instance),
+        highest_revision=instance.freshness.highest_revision,
+        services={
+            name: _service(service)
+            for name, service in sorted(instance.services.items())
+        },
+        members=dict(sorted(instance.membership.members.items())),
+        live_count=membership.live_count(instance.membership),
+        tables=_tables(instance, target_links),
+    )
+
+
+def configuration_age_seconds(instance: Instance) -> float | None:
+    """Tell how long ago the configuration was last confirmed.
+
+    :param instance: The instance.
+    :returns: The age, or ``None`` before the first confirmation.
+    """
+    age_seconds = instance.clock() - instance.freshness.confirmed_seconds
+    return None if age_seconds == float('inf') else age_seconds
+
+
+def _service(service: ServiceState) -> ServiceDump:
+    return ServiceDump(
+        configuration_version=service.document.version,
+        serving_index=service.document.serving_index,
+        snapshot=service.snapshot,
+        extra_load_tokens=service.budget.tokens,
+        needed_count=service.budget.needed_count,
+        extra_count=service.budget.extra_count,
+        targets={
+            name: _target(view) for name, view in sorted(service.views.items())
+        },
+    )
+
+
+def _target(view: TargetView) -> TargetDump:
+    return TargetDump(
+        availability_zone=view.availability_zone,
+        in_flight=view.gate.in_flight,
+        waiting=limits.waiting_count(view.gate),
+        limit=view.gate.limit,
+        share=view.gate.share,
+        latency_seconds=view.health.latency_seconds,
+        failure_count=view.health.failure_count,
+        is_leaving=view.health.leaving_since_seconds is not None,
+        newest_snapshot=view.report.newest_snapshot,
+    )
+
+
+def _tables(instance: Instance, target_links: links.Links) -> dict[str, Bound]:
+    fullest = max(
+        (
+            max(len(view.gate.urgent), len(view.gate.sweeps))
+            for service in instance.services.values()
+            for view in service.views.values()
+        ),
+        default=0,
+    )
+    tokens = max(
+        (service.budget.tokens for service in instance.services.values()),
+        default=0,
+    )
+    return {
+        'bookings': Bound(
+            len(instance.bookings.outcomes), bookings.MOST_BOOKINGS
+        ),
+        'extra_load_tokens': Bound(int(tokens), int(budget.MOST_TOKENS)),
+        'links': Bound(len(target_links.links), links.MOST_LINKS),
+        'members': Bound(
+            len(instance.membership.members), membership.MOST_MEMBERS
+        ),
+        'services': Bound(len(instance.services), MOST_SERVICES),
+        'waiting_at_one_target': Bound(fullest, limits.MOST_WAITING),
+    }
--- /dev/null
+++ b/celeryturn/queries/read.py
@@ -0,0 +1,53 @@
+"""Search, quick-check and record read."""
+
+from celeryturn.decisions import fleet
+from celeryturn.decisions.messages import QueryAnswer
+from celeryturn.decisions.planning import Ask, QueryKind, QueryPlan, plan_query
+from celeryturn.errors import CeleryturnError, Kind
+from celeryturn.instance import Instance, service_of
+from celeryturn.metrics import count_answer
+from celeryturn.queries.runner import Runner, run_query
+from celeryturn.targets.links import Links
+
+
+def plan(instance: Instance, ask: Ask) -> QueryPlan:
+    """Pin what an answer depends on.
+
+    :param instance: The instance.
+    :param ask: What the caller asks.
+    :returns: The plan.
+    :raises CeleryturnError: When the service is not known.
+    """
+    service = service_of(instance, ask.service)
+    now_seconds = instance.clock()
+    snapshot = fleet.current_snapshot(service, now_seconds)
+    return plan_query(service.document, ask, snapshot, now_seconds)
+
+
+async def read(instance: Instance, links: Links, ask: Ask) -> QueryAnswer:
+    """Answer a caller's read request.
+
+    :param instance: The instance.
+    :param links: Links to targets.
+    :param ask: What the caller asks.
+    :returns: The whole answer, with its coverage.
+    :raises CeleryturnError: When the service or the record is not known,
+        or nothing at all could be read.
+    """
+    service = service_of(instance, ask.service)
+    runner = Runner(instance, links, service, plan(instance, ask))
+    answer = await run_query(runner)
+    count_answer(instance.metrics, answer)
+    if ask.kind is QueryKind.RECORD:
+        _require_record(ask, answer)
+    return answer
+
+
+def _require_record(ask: Ask, answer: QueryAnswer) -> None:
+    if not answer.coverage.is_complete:
+        reason = answer.coverage.lacking[0].reason
+        raise CeleryturnError(
+            Kind.RECORD_UNREACHABLE, f'its shard could not be read: {reason}'
+        )
+    if not answer.records:
+        raise CeleryturnError(Kind.NOT_FOUND, f'no record {ask.key!r}')
--- /dev/null
+++ b/celeryturn/queries/runner.py
@@ -0,0 +1,251 @@
+"""Run one query: decisions become exchanges and timers, and back."""
+
+import asyncio
+from typing import Final
+
+from celeryturn.decisions import course, fleet, latency, limits, query, views
+from celeryturn.decisions.merging import merge
+from celeryturn.decisions.messages import QueryAnswer, Reply
+from celeryturn.decisions.planning import QueryPlan
+from celeryturn.errors import CeleryturnError
+from celeryturn.events import TARGET_LEAVING, log
+from celeryturn.http.messages import HttpReply
+from celeryturn.instance import Instance
+from celeryturn.targets import links, wire
+from celeryturn.timer import Timer
+
+LEAST_TIMER_SECONDS: Final = 0.001
+
+
+class Runner:
+    """A query under way.
+
+    :param instance: The instance that runs it.
+    :param links: Links to targets.
+    :param service: State of the service.
+    :param state: State of the query.
+    :param exchanges: Exchanges under way, by number of the attempt.
+    :param timer: The next wake-up.
+    :param finished: Set when the answer can be merged.
+    """
+
+    __slots__ = (
+        'exchanges',
+        'finished',
+        'instance',
+        'links',
+        'service',
+        'state',
+        'timer',
+    )
+
+    def __init__(
+        self,
+        instance: Instance,
+        target_links: links.Links,
+        service: fleet.ServiceState,
+        plan: QueryPlan,
+    ) -> None:
+        self.instance = instance
+        self.links = target_links
+        self.service = service
+        self.state = course.QueryState(plan)
+        self.exchanges: dict[int, links.Exchange] = {}
+        self.timer = Timer()
+        self.finished = asyncio.Event()
+
+
+async def run_query(runner: Runner) -> QueryAnswer:
+    """Run a query to its answer; cancelling this cancels its sub-requests.
+
+    :param runner: A new runner.
+    :returns: The merged answer.
+    """
+    try:
+        _apply(runner, query.begin(runner.state, _context(runner)))
+        await runner.finished.wait()
+    finally:
+        _close(runner)
+    return merge(runner.state, runner.instance.clock())
+
+
+def _context(runner: Runner) -> course.Context:
+    service = runner.service
+    instance = runner.instance
+    return course.Context(
+        views=service.views,
+        zone=instance.settings.availability_zone,
+        budget=service.budget,
+        window=service.window,
+        is_short=fleet.is_short(service),
+        now_seconds=instance.clock(),
+        random=instance.random,
+    )
+
+
+def _apply(runner: Runner, actions: course.Actions) -> None:
+    for action in actions:
+        match action:
+            case course.Send(attempt):
+                _send(runner, attempt)
+            case course.Cancel(attempt):
+                _cancel(runner, attempt)
+            case course.Wake(at_seconds):
+                _arm(runner, at_seconds)
+            case course.Finish():
+                runner.finished.set()
+
+
+def _send(runner: Runner, attempt: course.Attempt) -> None:
+    if attempt.number not in runner.state.under_way:
+        # Ended meanwhile, by what another send of the same list led to.
+        return
+    name = attempt.target
+    target = runner.service.document.targets.get(name)
+    view = runner.service.views.get(name)
+    if target is None or view is None:
+        _fail_soon(runner, attempt)
+        return
+    plan = runner.state.plan
+    service = plan.ask.service
+    link = links.link_to(runner.links, service, name, target, view)
+    exchange = links.Exchange(
+        name,
+        plan.urgency,
+        plan.deadline_seconds,
+        lambda: wire.read_request(plan, attempt, runner.instance.clock()),
+        lambda ended, outcome: _on_end(runner, attempt, ended, outcome),
+    )
+    runner.exchanges[attempt.number] = exchange
+    if not links.submit(runner.links, link, exchange):
+        _fail_soon(runner, attempt)
+
+
+def _fail_soon(runner: Runner, attempt: course.Attempt) -> None:
+    # Not called back at once: the decision that sent it is still running.
+    asyncio.get_running_loop().call_soon(
+        _on_failure, runner, attempt, course.Failure.NOT_SENT
+    )
+
+
+def _on_end(
+    runner: Runner,
+    attempt: course.Attempt,
+    exchange: links.Exchange,
+    outcome: links.Outcome,
+) -> None:
+    runner.exchanges.pop(attempt.number, None)
+    try:
+        reply = _parse(outcome)
+    except wire.Refusal as refusal:
+        _on_refusal(runner, attempt, refusal)
+    except (links.NotSentError, CeleryturnError):
+        _on_failure(runner, attempt, course.Failure.NOT_SENT)
+    except OSError:
+        _on_failure(runner, attempt, course.Failure.LOST)
+    else:
+        _on_reply(runner, attempt, exchange, reply)
+
+
+def _parse(outcome: links.Outcome) -> Reply:
+    if isinstance(outcome, HttpReply):
+        return wire.parse_read(outcome)
+    raise outcome
+
+
+def _on_reply(
+    runner: Runner,
+    attempt: course.Attempt,
+    exchange: links.Exchange,
+    reply: Reply,
+) -> None:
+    now_seconds = runner.instance.clock()
+    taken_seconds = now_seconds - exchange.course.written_seconds
+    view = runner.service.views.get(attempt.target)
+    if view is not None:
+        _note_report(runner, attempt.target, reply.report)
+        views.observe_reply(view, taken_seconds, reply.report, now_seconds)
+        limits.on_success(view.gate)
+    latency.record(runner.service.window, taken_seconds, now_seconds)
+    asked_for = (runner.state.plan.ask.service, attempt.shard)
+    if (reply.service, reply.shard) != asked_for:
+        _on_failure(runner, attempt, course.Failure.BAD_REPLY)
+        return
+    context = _context(runner)
+    _apply(runner, query.on_reply(runner.state, attempt.number, reply, context))
+
+
+def _on_refusal(
+    runner: Runner, attempt: course.Attempt, refusal: wire.Refusal
+) -> None:
+    view = runner.service.views.get(attempt.target)
+    if view is not None and refusal.report.boot:
+        _note_report(runner, attempt.target, refusal.report)
+        view.report = refusal.report
+    if view is not None and refusal.failure is course.Failure.SHED:
+        limits.on_shed(view.gate)
+    _on_failure(runner, attempt, refusal.failure)
+
+
+def _note_report(runner: Runner, target: str, report: views.Report) -> None:
+    view = runner.service.views[target]
+    if report.draining and views.may_get_work(view):
+        views.observe_leaving(view, runner.instance.clock())
+        log(TARGET_LEAVING, target=target, source='reply')
+
+
+def _on_failure(
+    runner: Runner, attempt: course.Attempt, failure: course.Failure
+) -> None:
+    runner.exchanges.pop(attempt.number, None)
+    view = runner.service.views.get(attempt.target)
+    if view is not None and failure in _FAULTS_OF_TARGET:
+        views.observe_failure(view, runner.instance.clock())
+    context = _context(runner)
+    _apply(
+        runner,
+        query.on_failure(runner.state, attempt.number, failure, context),
+    )
+
+
+def _cancel(runner: Runner, attempt: course.Attempt) -> None:
+    exchange = runner.exchanges.pop(attempt.number, None)
+    if exchange is None:
+        return
+    progress = links.cancel(runner.links, exchange)
+    if progress.is_ended:
+        return
+    if not progress.is_written:
+        query.note_unsent(runner.state)
+        return
+    view = runner.service.views.get(attempt.target)
+    if view is not None:
+        now_seconds = runner.instance.clock()
+        waited_seconds = now_seconds - exchange.course.written_seconds
+        views.observe_silence(view, waited_seconds)
+
+
+def _arm(runner: Runner, at_seconds: float) -> None:
+    wait_seconds = max(
+        LEAST_TIMER_SECONDS, at_seconds - runner.instance.clock()
+    )
+    runner.timer.arm(wait_seconds, lambda: _on_wake(runner))
+
+
+def _on_wake(runner: Runner) -> None:
+    _apply(runner, query.on_wake(runner.state, _context(runner)))
+
+
+def _close(runner: Runner) -> None:
+    runner.timer.disarm()
+    if not runner.state.is_finished:
+        _apply(runner, query.finish(runner.state))
+
+
+_FAULTS_OF_TARGET: Final = frozenset(
+    (
+        course.Failure.NOT_SENT,
+        course.Failure.LOST,
+        course.Failure.BAD_REPLY,
+    )
+)
--- /dev/null
+++ b/celeryturn/tables.py
@@ -0,0 +1,218 @@
+"""Answers as text that a person reads."""
+
+import datetime
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any, Final
+
+MILLISECONDS: Final = 1000
+PERCENT: Final = 100
+MOST_LINES: Final = 12
+
+
+def table(heads: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
+    """Lay rows out in columns.
+
+    :param heads: Heads of the columns.
+    :param rows: Their cells.
+    :returns: Lines of equal columns.
+    """
+    lines = [tuple(heads), *(tuple(map(str, row)) for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    return '\n'.join(
+        '  '.join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    )
+
+
+def answer_text(answer: Mapping[str, Any]) -> str:
+    """Show an answer to a read request.
+
+    :param answer: The decoded answer.
+    :returns: Its records, what it covers and what it cost.
+    """
+    records = answer['records']
+    rows = [
+        (
+            record['key'],
+            _clock(record['starts_at_seconds']),
+            record['free_count'],
+            record['text'],
+        )
+        for record in records[:MOST_LINES]
+    ]
+    lines = [table(('KEY', 'STARTS', 'FREE', 'TEXT'), rows)]
+    if len(records) > MOST_LINES:
+        lines.append(f'… and {len(records) - MOST_LINES} more records')
+    if answer['is_truncated']:
+        lines.append('more records matched than were asked for')
+    lines.append(_coverage_text(answer['coverage']))
+    lines.append(_cost_text(answer))
+    return '\n'.join(lines)
+
+
+def booking_text(answer: Mapping[str, Any]) -> str:
+    """Show a booking.
+
+    :param answer: The decoded answer.
+    :returns: What was booked, and where.
+    """
+    return (
+        f'{answer["outcome"]}: {answer["key"]} of {answer["service"]}, '
+        f'booking id {answer["booking_id"]}\n'
+        f'run once at {answer["target"]} (shard {answer["shard"]}, '
+        f'epoch {answer["epoch"]})'
+    )
+
+
+def advice_text(answer: Mapping[str, Any]) -> str:
+    """Show address advice.
+
+    :param answer: The decoded answer.
+    :returns: Addresses, the one to use first at the top.
+    """
+    rows = [
+        (
+            f'{entry["address"]}:{entry["port"]}',
+            entry['instance'],
+            entry['availability_zone'],
+        )
+        for entry in answer['addresses']
+    ]
+    keep = f'keep for {answer["keep_seconds"]:.1f} s'
+    return f'{table(("ADDRESS", "INSTANCE", "ZONE"), rows)}\n{keep}'
+
+
+def versions_text(states: Sequence[Mapping[str, Any]]) -> str:
+    """Show the configuration in force at every instance.
+
+    :param states: Decoded state dumps.
+    :returns: A row an instance; those behind the newest are marked.
+    """
+    services = sorted({name for state in states for name in state['services']})
+    newest = {
+        name: max(_version(state, name) for state in states)
+        for name in services
+    }
+    rows = []
+    for state in states:
+        cells = [
+            _version_cell(_version(state, name), newest[name])
+            for name in services
+        ]
+        rows.append((state['instance'], _age(state), *cells))
+    return table(('INSTANCE', 'CONFIRMED', *services), rows)
+
+
+def state_text(state: Mapping[str, Any]) -> str:
+    """Show a state dump in short.
+
+    :param state: A decoded state dump.
+    :returns: What it holds, and how full its tables are.
+    """
+    header = (
+        f'{state["instance"]} in {state["availability_zone"]}: '
+        f'ready {state["is_ready"]}, leaving {state["is_leaving"]}, '
+        f'configuration confirmed {_age(state)}'
+    )
+    tables = table(
+        ('TABLE', 'HELD', 'MOST'),
+        (
+            (name, bound['held'], bound['most'])
+            for name, bound in state['tables'].items()
+        ),
+    )
+    members = table(
+        ('INSTANCE', 'STATUS', 'ZONE'),
+        (
+            (name, member['status'], member['availability_zone'])
+            for name, member in state['members'].items()
+        ),
+    )
+    targets = table(
+        ('SERVICE', 'VERSION', 'TARGETS', 'LEAVING', 'IN FLIGHT', 'EXTRA'),
+        (
+            _service_row(name, service)
+            for name, service in state['services'].items()
+        ),
+    )
+    return '\n\n'.join((header, targets, members, tables))
+
+
+def explanation_text(plan: Mapping[str, Any]) -> str:
+    """Show the plan of a query.
+
+    :param plan: A decoded explanation.
+    :returns: A row a replica.
+    """
+    header = (
+        f'{plan["service"]}: configuration {plan["configuration_version"]}, '
+        f'index {plan["index_version"]}, snapshot {plan["snapshot"]}, '
+        f'{plan["priority"]} first'
+    )
+    rows = (
+        (
+            shard['shard'],
+            replica['target'],
+            replica['availability_zone'],
+            f'{replica["expected_seconds"] * MILLISECONDS:.1f} ms',
+            replica['note'],
+        )
+        for shard in plan['shards']
+        for replica in shard['replicas']
+    )
+    heads = ('SHARD', 'REPLICA', 'ZONE', 'EXPECTED', 'WHY')
+    return f'{header}\n{table(heads, rows)}'
+
+
+def _coverage_text(coverage: Mapping[str, Any]) -> str:
+    included = len(coverage['included'])
+    lacking = coverage['lacking']
+    whole = included + len(lacking)
+    text = f'coverage {included} of {whole} shards'
+    if not lacking:
+        return f'{text}, complete'
+    reasons = ', '.join(
+        f'{entry["shard"]} ({entry["reason"]})' for entry in lacking
+    )
+    return f'{text}; lacking {reasons}'
+
+
+def _cost_text(answer: Mapping[str, Any]) -> str:
+    load = answer['load']
+    extra = max(0, load['sent_count'] - load['needed_count'])
+    return (
+        f'snapshot {answer["snapshot"]}, index {answer["index_version"]}, '
+        f'configuration {answer["configuration_version"]}; '
+        f'{answer["elapsed_seconds"] * MILLISECONDS:.1f} ms; '
+        f'{load["needed_count"]} sub-requests needed, {extra} extra'
+    )
+
+
+def _clock(starts_at_seconds: int) -> str:
+    moment = datetime.datetime.fromtimestamp(starts_at_seconds, tz=datetime.UTC)
+    return f'{moment:%Y-%m-%d %H:%M}'
+
+
+def _version(state: Mapping[str, Any], service: str) -> int:
+    held = state['services'].get(service)
+    return int(held['configuration_version']) if held else 0
+
+
+def _version_cell(version: int, newest: int) -> str:
+    return str(version) if version == newest else f'{version} (behind)'
+
+
+def _age(state: Mapping[str, Any]) -> str:
+    age_seconds = state['configuration_age_seconds']
+    return 'never' if age_seconds is None else f'{age_seconds:.1f} s ago'
+
+
+def _service_row(name: str, service: Mapping[str, Any]) -> tuple[object, ...]:
+    targets = service['targets'].values()
+    row = [name, service['configuration_version'], len(targets)]
+    row.append(sum(target['is_leaving'] for target in targets))
+    row.append(sum(target['in_flight'] for target in targets))
+    row.append(f'{service["extra_count"]} of {service["needed_count"]}')
+    return tuple(row)
--- /dev/null
+++ b/celeryturn/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to targets, and what is said on them."""
--- /dev/null
+++ b/celeryturn/targets/links.py
@@ -0,0 +1,343 @@
+"""Links to targets: gates, pooled connections, exchanges, cancellation.
+
+An exchange is admitted by the decision functions, gets a connection, asks
+for its request right before the write, and ends exactly once.  A connection
+with a cancelled or half-read exchange is closed and never reused.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import Final, NamedTuple, TypeAlias
+
+from celeryturn.decisions import limits
+from celeryturn.decisions.document import Target
+from celeryturn.decisions.views import TargetView
+from celeryturn.errors import CeleryturnError
+from celeryturn.http.client import Connection, connect
+from celeryturn.http.messages import HttpReply, HttpRequest
+
+Outcome: TypeAlias = HttpReply | Exception
+MakeRequest: TypeAlias = Callable[[], HttpRequest]
+OnEnd: TypeAlias = Callable[['Exchange', Outcome], None]
+
+MOST_LINKS: Final = 8192
+
+
+class NotSentError(ConnectionError):
+    """Nothing of the request left this instance."""
+
+
+class Progress(NamedTuple):
+    """How far an exchange came.
+
+    :param is_written: Whether any byte may have left.
+    :param is_ended: Whether it has ended.
+    """
+
+    is_written: bool = False
+    is_ended: bool = False
+
+
+class Exchange:
+    """One request to one target.
+
+    :param target: Name of the target.
+    :param urgency: Its class at the gate.
+    :param deadline_seconds: After this time it is of no use.
+    :param make_request: Builds the request right before the write, or
+        raises to refuse it.
+    :param on_end: Gets the outcome, exactly once, unless cancelled.
+    :param course: Where it stands; owned by this module.
+    """
+
+    __slots__ = (
+        'course',
+        'deadline_seconds',
+        'make_request',
+        'on_end',
+        'target',
+        'urgency',
+    )
+
+    def __init__(
+        self,
+        target: str,
+        urgency: limits.Urgency,
+        deadline_seconds: float,
+        make_request: MakeRequest,
+        on_end: OnEnd,
+    ) -> None:
+        self.target = target
+        self.urgency = urgency
+        self.deadline_seconds = deadline_seconds
+        self.make_request = make_request
+        self.on_end = on_end
+        self.course = Course()
+
+
+class Course:
+    """Where an exchange stands.
+
+    :param ticket: Identifies it at the gate.
+    :param link: The link it was offered to.
+    :param connection: The connection it holds, if any.
+    :param written_seconds: When it was written; zero before.
+    :param is_admitted: Whether it counts at the gate.
+    :param is_ended: Whether nothing more will be called back.
+    """
+
+    __slots__ = (
+        'connection',
+        'is_admitted',
+        'is_ended',
+        'link',
+        'ticket',
+        'written_seconds',
+    )
+
+    def __init__(self) -> None:
+        self.ticket = 0
+        self.link: Link | None = None
+        self.connection: Connection | None = None
+        self.written_seconds = 0.0
+        self.is_admitted = False
+        self.is_ended = False
+
+
+class Link:
+    """The connections to one target.
+
+    :param address: IP address and port.
+    :param view: What is believed of the target, its gate included.
+    :param idle: Connections with no exchange, the latest used last.
+    :param waiting: Exchanges held back, by ticket.
+    :param is_current: Whether new exchanges go over it.
+    """
+
+    __slots__ = ('address', 'idle', 'is_current', 'view', 'waiting')
+
+    def __init__(self, address: tuple[str, int], view: TargetView) -> None:
+        self.address = address
+        self.view = view
+        self.idle: deque[Connection] = deque()
+        self.waiting: dict[int, Exchange] = {}
+        self.is_current = True
+
+
+class Links:
+    """All links of an instance.
+
+    :param links: By service and target name.
+    :param clock: Monotonic clock, in seconds.
+    :param connect_timeout_seconds: Longest wait for a connection.
+    :param opening: Tasks that open connections.
+    :param last_ticket: Number of the newest exchange.
+    """
+
+    __slots__ = (
+        'clock',
+        'connect_timeout_seconds',
+        'last_ticket',
+        'links',
+        'opening',
+    )
+
+    def __init__(
+        self, clock: Callable[[], float], connect_timeout_seconds: float
+    ) -> None:
+        self.links: dict[tuple[str, str], Link] = {}
+        self.clock = clock
+        self.connect_timeout_seconds = connect_timeout_seconds
+        self.opening: set[asyncio.Task[None]] = set()
+        self.last_ticket = 0
+
+
+def link_to(
+    links: Links,
+    service: str,
+    target_name: str,
+    target: Target,
+    view: TargetView,
+) -> Link:
+    """Find or make the link to a target.
+
+    :param links: All links.
+    :param service: Name of the service.
+    :param target_name: Name of the target.
+    :param target: Its entry in the configuration in force.
+    :param view: What is believed of it.
+    :returns: The link; a new one where the target has moved.
+    """
+    place = (service, target_name)
+    address = (target.address, target.port)
+    link = links.links.get(place)
+    if link is None or link.address != address or link.view is not view:
+        if link is not None:
+            _retire(link)
+        link = Link(address, view)
+        links.links[place] = link
+    return link
+
+
+def submit(links: Links, link: Link, exchange: Exchange) -> bool:
+    """Offer an exchange to its target.
+
+    :param links: All links.
+    :param link: The link to its target.
+    :param exchange: What to exchange.
+    :returns: False when it was refused and will never be sent.
+    """
+    links.last_ticket += 1
+    exchange.course.ticket = links.last_ticket
+    exchange.course.link = link
+    verdict = limits.offer(
+        link.view.gate,
+        exchange.urgency,
+        limits.Waiting(links.last_ticket, exchange.deadline_seconds),
+    )
+    if verdict is limits.Verdict.REFUSE:
+        exchange.course.is_ended = True
+        return False
+    if verdict is limits.Verdict.WAIT:
+        link.waiting[exchange.course.ticket] = exchange
+    else:
+        exchange.course.is_admitted = True
+        _transmit(links, link, exchange)
+    return True
+
+
+def cancel(links: Links, exchange: Exchange) -> Progress:
+    """Give an exchange up; nothing is called back after this.
+
+    :param links: All links.
+    :param exchange: Which.
+    :returns: How far it had come.
+    """
+    course = exchange.course
+    before = Progress(course.written_seconds > 0, course.is_ended)
+    if course.is_ended:
+        return before
+    course.is_ended = True
+    link = course.link
+    if link is None:
+        return before
+    if course.connection is not None:
+        course.connection.close()
+        course.connection = None
+        _release(links, link)
+    elif link.waiting.pop(course.ticket, None) is not None:
+        limits.withdraw(link.view.gate, course.ticket)
+    # One whose connection is being opened keeps its place until it is open,
+    # so that no other is opened beside it beyond the share.
+    return before
+
+
+async def close_links(links: Links) -> None:
+    """Close every connection.
+
+    :param links: All links.
+    """
+    for task in tuple(links.opening):
+        task.cancel()
+    await asyncio.gather(*links.opening, return_exceptions=True)
+    for link in links.links.values():
+        _retire(link)
+    links.links.clear()
+
+
+def _transmit(links: Links, link: Link, exchange: Exchange) -> None:
+    connection = _take_idle(link)
+    if connection is not None:
+        _write(links, link, exchange, connection)
+        return
+    task = asyncio.get_running_loop().create_task(
+        _open_and_write(links, link, exchange)
+    )
+    links.opening.add(task)
+    task.add_done_callback(links.opening.discard)
+
+
+async def _open_and_write(links: Links, link: Link, exchange: Exchange) -> None:
+    try:
+        connection = await connect(*link.address, links.connect_timeout_seconds)
+    except OSError as error:
+        _end_opening(links, link, exchange, NotSentError(str(error)))
+        return
+    if exchange.course.is_ended:
+        _give_back(link, connection)
+        _release(links, link)
+    else:
+        _write(links, link, exchange, connection)
+
+
+def _end_opening(
+    links: Links, link: Link, exchange: Exchange, error: NotSentError
+) -> None:
+    if exchange.course.is_ended:
+        _release(links, link)
+    else:
+        _end(links, link, exchange, error)
+
+
+def _write(
+    links: Links, link: Link, exchange: Exchange, connection: Connection
+) -> None:
+    try:
+        request = exchange.make_request()
+    except CeleryturnError as error:
+        _give_back(link, connection)
+        _end(links, link, exchange, error)
+        return
+    exchange.course.connection = connection
+    exchange.course.written_seconds = links.clock()
+
+    def on_done(outcome: Outcome) -> None:
+        if connection.is_idle:
+            _give_back(link, connection)
+        exchange.course.connection = None
+        _end(links, link, exchange, outcome)
+
+    connection.start(request, on_done)
+
+
+def _end(
+    links: Links, link: Link, exchange: Exchange, outcome: Outcome
+) -> None:
+    if exchange.course.is_ended:
+        return
+    exchange.course.is_ended = True
+    _release(links, link)
+    exchange.on_end(exchange, outcome)
+
+
+def _release(links: Links, link: Link) -> None:
+    for waiting in limits.release(link.view.gate, links.clock()):
+        exchange = link.waiting.pop(waiting.ticket, None)
+        if exchange is None:
+            _release(links, link)
+        else:
+            exchange.course.is_admitted = True
+            _transmit(links, link, exchange)
+
+
+def _take_idle(link: Link) -> Connection | None:
+    while link.idle:
+        connection = link.idle.pop()
+        if connection.is_idle:
+            return connection
+    return None
+
+
+def _give_back(link: Link, connection: Connection) -> None:
+    held = len(link.idle) + link.view.gate.in_flight
+    if link.is_current and held <= link.view.gate.share:
+        link.idle.append(connection)
+    else:
+        connection.close()
+
+
+def _retire(link: Link) -> None:
+    link.is_current = False
+    while link.idle:
+        link.idle.pop().close()
--- /dev/null
+++ b/celeryturn/targets/returns.py
@@ -0,0 +1,61 @@
+"""Find out when a target that was leaving serves again.
+
+A target that drains gets no work, so no reply can say that it is back.  Its
+health endpoint lags; it is believed only when it names another start of the
+target's process than the one that was draining.
+"""
+
+import asyncio
+from typing import Final
+
+from celeryturn.decisions import views
+from celeryturn.decisions.fleet import ServiceState
+from celeryturn.events import TARGET_RETURNED, log
+from celeryturn.http.client import fetch
+from celeryturn.http.messages import HttpRequest
+from celeryturn.instance import Instance
+from celeryturn.targets import wire
+
+EVERY_SECONDS: Final = 5.0
+TIMEOUT_SECONDS: Final = 1.0
+
+
+async def watch_returns(instance: Instance) -> None:
+    """Ask leaving targets now and then, until cancelled.
+
+    :param instance: The instance.
+    """
+    while not instance.is_closing:
+        await asyncio.sleep(EVERY_SECONDS * (1 + instance.random()) / 2)
+        for service in tuple(instance.services.values()):
+            for name in _leaving(service):
+                await _ask(instance, service, name)
+
+
+def _leaving(service: ServiceState) -> list[str]:
+    return [
+        name
+        for name, target in service.document.targets.items()
+        if target.state == 'serving'
+        and not views.may_get_work(service.views[name])
+    ]
+
+
+async def _ask(instance: Instance, service: ServiceState, name: str) -> None:
+    target = service.document.targets[name]
+    try:
+        reply = await fetch(
+            target.address,
+            target.port,
+            HttpRequest('GET', wire.HEALTH_PATH),
+            TIMEOUT_SECONDS,
+        )
+        report = wire.parse_health(reply)
+    except (OSError, wire.Refusal):
+        return
+    view = service.views.get(name)
+    if view is None or not views.is_back(view, report):
+        return
+    views.observe_serving(view, instance.clock())
+    view.report = report
+    log(TARGET_RETURNED, target=name, boot=report.boot)
--- /dev/null
+++ b/celeryturn/targets/wire.py
@@ -0,0 +1,237 @@
+"""What is said to targets: JSON over HTTP/1.1, as docs/TARGETS.md states."""
+
+from typing import Final, TypedDict
+
+import msgspec
+
+from celeryturn.decisions.booking import BookingPlan
+from celeryturn.decisions.messages import Record, Reply
+from celeryturn.decisions.planning import QueryPlan
+from celeryturn.decisions.course import Attempt, Failure
+from celeryturn.decisions.views import Report
+from celeryturn.errors import CeleryturnError, Kind
+from celeryturn.http.messages import HttpReply, HttpRequest
+
+READ_PATH: Final = '/v1/read'
+BOOK_PATH: Final = '/v1/book'
+HEALTH_PATH: Final = '/v1/health'
+OK: Final = 200
+CONFLICT: Final = 409
+
+
+class ReportBody(TypedDict, total=False):
+    """What a target says of itself in every reply."""
+
+    queue_count: int
+    oldest_snapshot: int
+    newest_snapshot: int
+    draining: bool
+    boot: str
+
+
+class ReadBody(TypedDict):
+    """Body of a reply to a read."""
+
+    service: str
+    shard: str
+    index_version: int
+    snapshot: int
+    records: list[Record]
+    report: ReportBody
+
+
+class RefusalBody(TypedDict, total=False):
+    """Body of a refusal."""
+
+    run: str
+    reason: str
+    report: ReportBody
+
+
+class BookedBody(TypedDict):
+    """Body of a reply to a booking that was run."""
+
+    booking_id: str
+    outcome: str
+    report: ReportBody
+
+
+_read_decoder: Final = msgspec.json.Decoder(ReadBody)
+_refusal_decoder: Final = msgspec.json.Decoder(RefusalBody)
+_booked_decoder: Final = msgspec.json.Decoder(BookedBody)
+_health_decoder: Final = msgspec.json.Decoder(ReportBody)
+
+
+class Refusal(Exception):
+    """A target's refusal.
+
+    :param failure: What it means to a query.
+    :param said_not_run: Whether the target said it was not run.
+    :param report: What the target said of itself.
+    """
+
+    def __init__(
+        self, failure: Failure, *, said_not_run: bool, report: Report
+    ) -> None:
+        super().__init__(failure)
+        self.failure = failure
+        self.said_not_run = said_not_run
+        self.report = report
+
+
+def read_request(
+    plan: QueryPlan, attempt: Attempt, now_seconds: float
+) -> HttpRequest:
+    """Build the sub-request of an attempt.
+
+    :param plan: The query's plan.
+    :param attempt: Which shard and target.
+    :param now_seconds: A clock reading taken just now.
+    :returns: The request, with what is left of the deadline.
+    :raises CeleryturnError: ``deadline_passed``.
+    """
+    ask = plan.ask
+    body = msgspec.json.encode(
+        {
+            'service': ask.service,
+            'shard': attempt.shard,
+            'index_version': plan.partition.version,
+            'snapshot': plan.snapshot,
+            'kind': ask.kind,
+            'key': ask.key,
+            'text': ask.text,
+            'limit_count': ask.limit_count + 1,
+            'schema_version': plan.partition.schema_version,
+        }
+    )
+    left = _left_header(plan.deadline_seconds, now_seconds)
+    return HttpRequest('POST', READ_PATH, (left,), body)
+
+
+def book_request(
+    plan: BookingPlan, key: str, places_count: int, now_seconds: float
+) -> HttpRequest:
+    """Build the request of a booking.
+
+    :param plan: Where it is to be written.
+    :param key: Key of the record.
+    :param places_count: How many places are booked.
+    :param now_seconds: A clock reading taken just now.
+    :returns: The request, with what is left of the deadline.
+    :raises CeleryturnError: ``deadline_passed``.
+    """
+    body = msgspec.json.encode(
+        {
+            'booking_id': plan.booking_id,
+            'service': plan.service,
+            'shard': plan.shard,
+            'epoch': plan.epoch,
+            'key': key,
+            'places_count': places_count,
+        }
+    )
+    left = _left_header(plan.deadline_seconds, now_seconds)
+    return HttpRequest('POST', BOOK_PATH, (left,), body)
+
+
+def parse_read(reply: HttpReply) -> Reply:
+    """Decode a reply to a sub-request.
+
+    :param reply: The whole HTTP reply.
+    :returns: The decoded reply.
+    :raises Refusal: When the target refused, or its reply is no reply.
+    """
+    if reply.status != OK:
+        raise parse_refusal(reply)
+    try:
+        body = _read_decoder.decode(reply.body)
+    except msgspec.DecodeError as error:
+        raise _bad_reply() from error
+    return Reply(
+        body['service'],
+        body['shard'],
+        body['index_version'],
+        body['snapshot'],
+        body['records'],
+        parse_report(body['report']),
+    )
+
+
+def parse_booked(reply: HttpReply) -> BookedBody:
+    """Decode a reply to a booking.
+
+    :param reply: The whole HTTP reply.
+    :returns: The decoded body; its outcome is ``booked`` or ``taken``.
+    :raises Refusal: When the target refused, or its reply is no reply.
+    """
+    if reply.status != OK:
+        raise parse_refusal(reply)
+    try:
+        return _booked_decoder.decode(reply.body)
+    except msgspec.DecodeError as error:
+        raise _bad_reply() from error
+
+
+def parse_health(reply: HttpReply) -> Report:
+    """Decode a reply to a health question.
+
+    :param reply: The whole HTTP reply.
+    :returns: What the target says of itself.
+    :raises Refusal: When there is no usable reply.
+    """
+    if reply.status != OK:
+        raise _bad_reply()
+    try:
+        return parse_report(_health_decoder.decode(reply.body))
+    except msgspec.DecodeError as error:
+        raise _bad_reply() from error
+
+
+def parse_refusal(reply: HttpReply) -> Refusal:
+    """Decode a refusal.
+
+    :param reply: The whole HTTP reply.
+    :returns: What it means; where it says nothing usable, nothing is known.
+    """
+    try:
+        body = _refusal_decoder.decode(reply.body)
+    except msgspec.DecodeError:
+        return _bad_reply()
+    reason = body.get('reason', '')
+    known = {failure.value for failure in Failure}
+    failure = Failure(reason) if reason in known else Failure.BAD_REPLY
+    return Refusal(
+        failure,
+        said_not_run=body.get('run') == 'not_run',
+        report=parse_report(body.get('report', {})),
+    )
+
+
+def parse_report(body: ReportBody) -> Report:
+    """Turn a target's word on itself into a report.
+
+    :param body: The decoded part of a reply.
+    :returns: The report; what is missing has its default.
+    """
+    return Report(
+        queue_count=body.get('queue_count', 0),
+        oldest_snapshot=body.get('oldest_snapshot', 0),
+        newest_snapshot=body.get('newest_snapshot', 0),
+        draining=body.get('draining', False),
+        boot=body.get('boot', ''),
+    )
+
+
+def _bad_reply() -> Refusal:
+    return Refusal(Failure.BAD_REPLY, said_not_run=False, report=Report())
+
+
+def _left_header(
+    deadline_seconds: float, now_seconds: float
+) -> tuple[str, str]:
+    left_seconds = deadline_seconds - now_seconds
+    if left_seconds <= 0:
+        raise CeleryturnError(
+            Kind.DEADLINE_PASSED, 'the deadline passed before it was sent'
+        )
+    return 'deadline-seconds', f'{left_seconds:.4f}'
--- /dev/null
+++ b/celeryturn/units.py
@@ -0,0 +1,22 @@
+"""Annotated types shared by settings, configuration and messages."""
+
+from typing import Annotated, Final, TypeAlias
+
+import msgspec
+
+HASH_SLOTS: Final = 16384
+
+Name: TypeAlias = Annotated[
+    str, msgspec.Meta(min_length=1, max_length=64, pattern='^[a-z0-9._-]+$')
+]
+Key: TypeAlias = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+Address: TypeAlias = Annotated[
+    str,
+    msgspec.Meta(pattern=r'^(\d{1,3}\.){3}\d{1,3}$|^[0-9a-f:]*:[0-9a-f:]+$'),
+]
+Port: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0)]
+Positive: TypeAlias = Annotated[int, msgspec.Meta(ge=1)]
+Seconds: TypeAlias = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+Share: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=1)]
+HashSlot: TypeAlias = Annotated[int, msgspec.Meta(ge=0, lt=HASH_SLOTS)]
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Examples that run."""
--- /dev/null
+++ b/examples/fleet.py
@@ -0,0 +1,236 @@
+"""Start one user's whole fleet on loopback, as separate processes."""
+
+import contextlib
+import os
+import signal
+import socket
+import subprocess  # noqa: S404
+import sys
+import tempfile
+import time
+from collections.abc import Iterator, Mapping
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+import yaml
+
+from standins.topology import USERS, User, build_document, target_names
+
+ADDRESS: Final = '127.0.0.1'
+INSTANCES_PER_ZONE: Final = 3
+SPARE_PORTS: Final = 150
+READY_SECONDS: Final = 30.0
+STOP_SECONDS: Final = 20.0
+POLL_SECONDS: Final = 0.05
+
+
+class Ports(NamedTuple):
+    """Ports of one instance."""
+
+    callers: int
+    peers: int
+
+
+class Fleet:
+    """Processes of one user's fleet.
+
+    :param folder: Settings, documents and logs.
+    :param places: Instances by name, each ``ADDRESS:PORT``.
+    :param instances: Processes of the instances, by name.
+    :param standins: Processes of the stand-ins.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.places: dict[str, str] = {}
+        self.instances: dict[str, subprocess.Popen[bytes]] = {}
+        self.standins: list[subprocess.Popen[bytes]] = []
+
+
+def start_fleet(user_name: str) -> Fleet:
+    """Start stand-ins and nine instances.
+
+    :param user_name: Name of the user whose shape it has.
+    :returns: The fleet; its instances may not be ready yet.
+    """
+    user = USERS[user_name]
+    fleet = Fleet(Path(tempfile.mkdtemp(prefix='celeryturn-')))
+    spare = iter(free_ports(SPARE_PORTS))
+    ports = _instance_ports(user, spare)
+    platform_port = next(spare)
+    documents = _write(fleet.folder / 'documents.yaml', _documents(user, spare))
+    _start_platform(fleet, user, ports, platform_port, documents)
+    for service in user.services:
+        module = ('standins.serve', 'targets', user_name, service)
+        fleet.standins.append(
+            _python(fleet, service, module, (str(documents),))
+        )
+    _start_instances(fleet, user, ports, platform_port)
+    return fleet
+
+
+def wait_ready(fleet: Fleet) -> None:
+    """Wait until every instance serves.
+
+    :param fleet: The fleet.
+    :raises TimeoutError: When one does not become ready.
+    """
+    deadline = time.monotonic() + READY_SECONDS
+    for name in fleet.instances:
+        log = fleet.folder / f'{name}.log'
+        while b'CT101' not in log.read_bytes():
+            if time.monotonic() > deadline:
+                raise TimeoutError(f'{name} is not ready; see {log}')
+            time.sleep(POLL_SECONDS)
+
+
+def stop_fleet(fleet: Fleet) -> bool:
+    """Shut the instances down gracefully, then end the stand-ins.
+
+    :param fleet: The fleet.
+    :returns: Whether every instance ended by itself with exit code 0.
+    """
+    for process in fleet.instances.values():
+        process.send_signal(signal.SIGTERM)
+    codes = [_wait(leaving) for leaving in fleet.instances.values()]
+    for standin in fleet.standins:
+        standin.terminate()
+        _wait(standin)
+    return not any(codes)
+
+
+def free_ports(count: int) -> list[int]:
+    """Find ports that are free just now.
+
+    All are held at once while they are found, so that none comes twice.
+
+    :param count: How many.
+    :returns: Their numbers.
+    """
+    with contextlib.ExitStack() as held:
+        probes = [held.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((ADDRESS, 0))
+        return [bound.getsockname()[1] for bound in probes]
+
+
+def _instance_ports(user: User, spare: Iterator[int]) -> dict[str, Ports]:
+    return {
+        f'entry-{zone}-{number}': Ports(next(spare), next(spare))
+        for zone in user.zones
+        for number in range(INSTANCES_PER_ZONE)
+    }
+
+
+def _start_platform(
+    fleet: Fleet,
+    user: User,
+    ports: Mapping[str, Ports],
+    platform_port: int,
+    documents: Path,
+) -> None:
+    listed = [
+        _listed(name, name_ports, _zone_of(name, user))
+        for name, name_ports in ports.items()
+    ]
+    instances = _write(fleet.folder / 'instances.yaml', listed)
+    module = ('standins.serve', 'platform', str(platform_port))
+    fleet.standins.append(
+        _python(fleet, 'platform', module, (str(documents), str(instances)))
+    )
+
+
+def _start_targets(fleet: Fleet, user_name: str, documents: Path) -> None:
+    for service in USERS[user_name].services:
+        module = ('standins.serve', 'targets', user_name, service)
+        fleet.standins.append(
+            _python(fleet, service, module, (str(documents),))
+        )
+
+
+def _start_instances(
+    fleet: Fleet, user: User, ports: Mapping[str, Ports], platform_port: int
+) -> None:
+    for name, name_ports in ports.items():
+        settings = _settings(user, name, name_ports, platform_port)
+        _start_instance(fleet, name, settings)
+
+
+def _start_instance(
+    fleet: Fleet, name: str, settings: Mapping[str, Any]
+) -> None:
+    settings_file = _write(fleet.folder / f'{name}.yaml', settings)
+    callers = settings['callers']
+    fleet.places[name] = f'{callers["address"]}:{callers["port"]}'
+    fleet.instances[name] = _python(
+        fleet,
+        name,
+        ('celeryturn.daemon',),
+        ('--settings', str(settings_file)),
+    )
+
+
+def _documents(user: User, spare: Iterator[int]) -> list[dict[str, Any]]:
+    documents = []
+    for service, shape in user.services.items():
+        names = target_names(service, shape)
+        ports = {name: next(spare) for name in names}
+        documents.append(build_document(service, user, ports))
+    return documents
+
+
+def _listed(name: str, ports: Ports, zone: str) -> dict[str, Any]:
+    return {
+        'instance': name,
+        'address': ADDRESS,
+        'callers_port': ports.callers,
+        'peers_port': ports.peers,
+        'availability_zone': zone,
+        'state': 'live',
+    }
+
+
+def _zone_of(name: str, user: User) -> str:
+    return next(zone for zone in user.zones if f'-{zone}-' in name)
+
+
+def _settings(
+    user: User, name: str, ports: Ports, platform_port: int
+) -> dict[str, Any]:
+    platform = {'address': ADDRESS, 'port': platform_port}
+    return {
+        'instance': name,
+        'availability_zone': _zone_of(name, user),
+        'regions': {user.region: list(user.zones)},
+        'callers': {'address': ADDRESS, 'port': ports.callers},
+        'peers': {'address': ADDRESS, 'port': ports.peers},
+        'configuration': dict(platform),
+        'instances': dict(platform),
+        'timing': {'advice_keep_seconds': 1.0},
+    }
+
+
+def _write(path: Path, content_of_file: object) -> Path:
+    path.write_text(yaml.safe_dump(content_of_file, sort_keys=False))
+    return path
+
+
+def _python(
+    fleet: Fleet, name: str, module: tuple[str, ...], words: tuple[str, ...]
+) -> subprocess.Popen[bytes]:
+    log = (fleet.folder / f'{name}.log').open('wb')
+    with log:
+        return subprocess.Popen(  # noqa: S603
+            (sys.executable, '-m', *module, *words),
+            stdout=log,
+            stderr=subprocess.STDOUT,
+            env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+        )
+
+
+def _wait(process: subprocess.Popen[bytes]) -> int:
+    try:
+        return process.wait(STOP_SECONDS)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        return process.wait() or 1
--- /dev/null
+++ b/standins/serve.py
@@ -0,0 +1,78 @@
+"""Run stand-ins as a process: ``python -m standins.serve platform …``."""
+
+import asyncio
+import signal
+from pathlib import Path
+from typing import Final
+
+import fire
+import msgspec
+import yaml
+
+from standins.platform import PlatformStandin
+from standins.target import Dataset, TargetStandin
+from standins.topology import USERS, build_records
+
+ADDRESS: Final = '127.0.0.1'
+
+
+def platform(port: int, documents: str, instances: str) -> None:
+    """Serve the configuration service and the list of instances.
+
+    :param port: Port for both.
+    :param documents: YAML file with a list of documents.
+    :param instances: YAML file with the list of instances.
+    """
+    asyncio.run(_platform(port, Path(documents), Path(instances)))
+
+
+def targets(user: str, service: str, documents: str) -> None:
+    """Serve all targets of a service.
+
+    :param user: Name of the user.
+    :param service: Name of the service.
+    :param documents: YAML file with a list of documents.
+    """
+    asyncio.run(_targets(user, service, Path(documents)))
+
+
+async def _platform(port: int, documents: Path, instances: Path) -> None:
+    standin = PlatformStandin()
+    for document in yaml.safe_load(documents.read_text()):
+        key = f'services/{document["service"]}'
+        standin.publish(key, msgspec.json.encode(document))
+    standin.instances = yaml.safe_load(instances.read_text())
+    await standin.server.start(ADDRESS, port)
+    await _until_signal()
+
+
+async def _targets(user: str, service: str, documents: Path) -> None:
+    document = next(
+        known
+        for known in yaml.safe_load(documents.read_text())
+        if known['service'] == service
+    )
+    shape = USERS[user].services[service]
+    dataset = Dataset(service, build_records(document))
+    for name, target in document['targets'].items():
+        standin = TargetStandin(
+            name,
+            dataset,
+            shape.slots,
+            shape.connections,
+            shape.connect_seconds,
+        )
+        await standin.server.start(ADDRESS, target['port'])
+    await _until_signal()
+
+
+async def _until_signal() -> None:
+    ended = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    await ended.wait()
+
+
+if __name__ == '__main__':
+    fire.Fire({'platform': platform, 'targets': targets})
--- /dev/null
+++ b/standins/target.py
@@ -0,0 +1,311 @@
+"""A stand-in of one target: shards, slots, faults that a script turns on."""
+
+import asyncio
+import functools
+import random
+from collections.abc import Mapping
+from typing import Any, Final, NamedTuple
+
+import msgspec
+
+from celeryturn.decisions.messages import Record
+from celeryturn.entry.refusals import refusal_reply
+from celeryturn.http.messages import (
+    HttpReply,
+    HttpRequest,
+    header,
+    json_reply,
+    split_url,
+)
+from celeryturn.http.server import HttpServer, Limits, ServerConnection
+
+OK: Final = 200
+CONFLICT: Final = 409
+UNAVAILABLE: Final = 503
+NOT_FOUND: Final = 404
+LATENCY_SPREAD: Final = 0.3
+KEPT_SNAPSHOTS: Final = 10
+COLD_FACTOR: Final = 5.0
+
+
+class Script(NamedTuple):
+    """How a target behaves; a script changes it while it runs.
+
+    :param latency_seconds: Median time of one request.
+    :param slow_factor: Multiplies it: a straggler.
+    :param shed_share: Share of requests that are shed.
+    :param is_lost: Whether connections are dropped at once.
+    :param is_draining: Whether it is leaving.
+    :param is_cold: Whether it is still slow from its start.
+    :param loses_booking_replies: Whether bookings run and stay unanswered.
+    :param checks_epoch: Whether bookings of another epoch are refused.
+    :param false_report: What it says of itself in place of the truth.
+    """
+
+    latency_seconds: float = 0.002
+    slow_factor: float = 1.0
+    shed_share: float = 0.0
+    is_lost: bool = False
+    is_draining: bool = False
+    is_cold: bool = False
+    loses_booking_replies: bool = False
+    checks_epoch: bool = False
+    false_report: dict[str, Any] | None = None
+
+
+class Dataset:
+    """The records of one service, which its targets share.
+
+    :param service: Name of the service.
+    :param records: Records by index version and shard.
+    :param newest_snapshot: The newest snapshot.
+    :param bookings: Every booking that was run, in order.
+    :param epochs: Epoch of each shard's home, where one is checked.
+    """
+
+    def __init__(
+        self, service: str, records: Mapping[str, list[Record]]
+    ) -> None:
+        self.service = service
+        self.records: dict[int, Mapping[str, list[Record]]] = {1: records}
+        self.newest_snapshot = 100
+        self.bookings: list[dict[str, Any]] = []
+        self.epochs: dict[str, int] = {}
+
+
+class TargetStandin:
+    """One target.
+
+    :param name: Its name.
+    :param dataset: The records it serves.
+    :param shards: Names of the shards it holds.
+    :param script: How it behaves now.
+    :param boot: Changes when it starts again.
+    :param log: What it was asked: kind and clock time.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        dataset: Dataset,
+        slots: int,
+        connections: int = 0,
+        connect_seconds: float = 0,
+    ) -> None:
+        self.name = name
+        self.connect_seconds = connect_seconds
+        self.dataset = dataset
+        self.script = Script()
+        self.boot = f'{name}-1'
+        self.log: list[tuple[str, float]] = []
+        self.most_connections_seen = 0
+        self._random = random.Random(name)
+        self._slots = asyncio.Semaphore(slots)
+        self._queue_count = 0
+        self.server = HttpServer(
+            self.answer_request,
+            refusal_reply,
+            Limits(most_connections=connections or 1000),
+            functools.partial(CostlyConnection, self),
+        )
+
+    async def answer_request(self, request: HttpRequest) -> HttpReply:
+        """Answer any request."""
+        path, _ = split_url(request.url)
+        self.log.append((path, asyncio.get_running_loop().time()))
+        if path == '/v1/health':
+            return json_reply(OK, self.report())
+        if path == '/script':
+            self.script = self.script._replace(
+                **msgspec.json.decode(request.body)
+            )
+            return json_reply(OK, {})
+        if path == '/bookings':
+            return json_reply(OK, self.dataset.bookings)
+        refusal = self._refuse()
+        if refusal is not None:
+            return refusal
+        return await self._work(path, request)
+
+    def report(self) -> dict[str, Any]:
+        """Say what every reply says of the target itself."""
+        newest = self.dataset.newest_snapshot
+        report: dict[str, Any] = {
+            'queue_count': self._queue_count,
+            'oldest_snapshot': max(1, newest - KEPT_SNAPSHOTS),
+            'newest_snapshot': newest,
+            'draining': self.script.is_draining,
+            'boot': self.boot,
+        }
+        report.update(self.script.false_report or {})
+        return report
+
+    def restart(self) -> None:
+        """Start again: another boot, no longer draining."""
+        generation = int(self.boot.rsplit('-', maxsplit=1)[1]) + 1
+        self.boot = f'{self.name}-{generation}'
+        self.script = Script()
+
+    def note_connections(self) -> None:
+        """Remember the most connections that were open at once."""
+        self.most_connections_seen = max(
+            self.most_connections_seen, len(self.server.connections)
+        )
+
+    def _refuse(self) -> HttpReply | None:
+        if self.script.is_draining:
+            return self._not_run('draining')
+        if self._random.random() < self.script.shed_share:
+            return self._not_run('shed')
+        return None
+
+    async def _work(self, path: str, request: HttpRequest) -> HttpReply:
+        left_seconds = float(
+            header(request.headers, 'deadline-seconds') or '60'
+        )
+        self._queue_count += 1
+        try:
+            async with asyncio.timeout(left_seconds):
+                async with self._slots:
+                    await asyncio.sleep(self._latency_seconds())
+                    return self._answer(path, request)
+        except TimeoutError:
+            return self._not_run('shed')
+        finally:
+            self._queue_count -= 1
+
+    def _answer(self, path: str, request: HttpRequest) -> HttpReply:
+        body = msgspec.json.decode(request.body)
+        if path == '/v1/read':
+            return self._read(body)
+        if path == '/v1/book':
+            return self._book(body)
+        return json_reply(NOT_FOUND, {})
+
+    def _read(self, body: Mapping[str, Any]) -> HttpReply:
+        dataset = self.dataset
+        snapshot = body['snapshot']
+        oldest = self.report()['oldest_snapshot']
+        records = dataset.records.get(body['index_version'], {})
+        is_held = oldest <= snapshot <= dataset.newest_snapshot
+        if body['service'] != self.dataset.service:
+            return self._conflict('bad_reply')
+        if body['shard'] not in records or not is_held:
+            return self._conflict('snapshot_gone')
+        found = [
+            record
+            for record in records[body['shard']]
+            if _matches(record, body)
+        ]
+        found.sort(key=lambda record: record['starts_at_seconds'])
+        return json_reply(
+            OK,
+            {
+                'service': self.dataset.service,
+                'shard': body['shard'],
+                'index_version': body['index_version'],
+                'snapshot': snapshot,
+                'records': found[: body['limit_count']],
+                'report': self.report(),
+            },
+        )
+
+    def _book(self, body: dict[str, Any]) -> HttpReply:
+        if not self._is_addressed(body):
+            return self._conflict('bad_reply')
+        record = self._find(body)
+        outcome = 'booked'
+        if record is None or record['free_count'] < body['places_count']:
+            outcome = 'taken'
+        else:
+            record['free_count'] -= body['places_count']
+        self.dataset.bookings.append(
+            {**body, 'target': self.name, 'outcome': outcome}
+        )
+        if self.script.loses_booking_replies:
+            for connection in tuple(self.server.connections):
+                connection.close()
+        return json_reply(
+            OK,
+            {
+                'booking_id': body['booking_id'],
+                'outcome': outcome,
+                'report': self.report(),
+            },
+        )
+
+    def _is_addressed(self, body: Mapping[str, Any]) -> bool:
+        if body['service'] != self.dataset.service:
+            return False
+        epoch = self.dataset.epochs.get(body['shard'], body['epoch'])
+        is_epoch: bool = epoch == body['epoch']
+        return is_epoch or not self.script.checks_epoch
+
+    def _find(self, body: Mapping[str, Any]) -> Record | None:
+        newest = max(self.dataset.records)
+        for record in self.dataset.records[newest].get(body['shard'], ()):
+            if record['key'] == body['key']:
+                return record
+        return None
+
+    def _latency_seconds(self) -> float:
+        script = self.script
+        seconds = script.latency_seconds * script.slow_factor
+        if script.is_cold:
+            seconds *= COLD_FACTOR
+        return seconds * self._random.lognormvariate(0, LATENCY_SPREAD)
+
+    def _not_run(self, reason: str) -> HttpReply:
+        return json_reply(
+            UNAVAILABLE,
+            {'run': 'not_run', 'reason': reason, 'report': self.report()},
+        )
+
+    def _conflict(self, reason: str) -> HttpReply:
+        return json_reply(
+            CONFLICT,
+            {'run': 'not_run', 'reason': reason, 'report': self.report()},
+        )
+
+
+class CostlyConnection(ServerConnection):
+    """A connection whose first request waits for its set-up."""
+
+    def __init__(self, standin: TargetStandin, server: HttpServer) -> None:
+        super().__init__(server)
+        self._standin = standin
+        self._is_new = True
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection, or drop it where the target is lost."""
+        super().connection_made(transport)
+        self._standin.note_connections()
+        if self._standin.script.is_lost:
+            transport.close()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Hold the first bytes back for the cost of the set-up."""
+        cost_seconds = self._standin.connect_seconds if self._is_new else 0
+        self._is_new = False
+        if self._standin.script.is_lost:
+            self.close()
+        elif cost_seconds:
+            asyncio.get_running_loop().call_later(
+                cost_seconds, super().data_received, chunk
+            )
+        else:
+            super().data_received(chunk)
+
+
+def _matches(record: Record, body: Mapping[str, Any]) -> bool:
+    key = body['key']
+    is_quickcheck = body['kind'] == 'quickcheck'
+    if is_quickcheck and not record['free_count']:
+        return False
+    if is_quickcheck and key:
+        site = record['key'].split('/', maxsplit=1)[0]
+        return bool(site == key)
+    if key and record['key'] != key:
+        return False
+    text: str = body['text']
+    return text in record['text']
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, in folders that mirror the package."""
--- /dev/null
+++ b/tests/environment.py
@@ -0,0 +1,32 @@
+"""What behave does around each scenario."""
+
+import asyncio
+import io
+
+from behave.model import Scenario
+from behave.runner import Context
+
+from celeryturn.events import log_to
+from tests.support.world import World
+
+
+def before_all(context: Context) -> None:
+    """Keep log events off the terminal, but run their code."""
+    context.log = io.StringIO()
+    log_to(context.log)
+
+
+def before_scenario(context: Context, scenario: Scenario) -> None:
+    """Give the scenario a loop and a world of its own."""
+    context.log.truncate(0)
+    context.log.seek(0)
+    context.loop = asyncio.new_event_loop()
+    context.world = World()
+
+
+def after_scenario(context: Context, scenario: Scenario) -> None:
+    """Close what the scenario opened; a task left over is a failure."""
+    context.loop.run_until_complete(context.world.close())
+    left = asyncio.all_tasks(context.loop)
+    context.loop.close()
+    assert not left, f'tasks left over: {left}'
--- /dev/null
+++ b/tests/run.py
@@ -0,0 +1,59 @@
+"""Run every scenario and print how many passed and failed."""
+
+import sys
+from pathlib import Path
+from typing import Final
+
+from behave.configuration import Configuration
+from behave.model import Scenario
+from behave.runner import Runner
+
+FOLDER: Final = Path(__file__).parent
+KNOWN_RED: Final = FOLDER.parent / 'KNOWN-RED.txt'
+
+
+def run(words: list[str]) -> int:
+    """Run scenarios.
+
+    :param words: Arguments for behave; all features by default.
+    :returns: Exit code: zero when nothing failed but what is known.
+    """
+    arguments = [*(words or [str(FOLDER)]), '--no-capture', '-f', 'progress']
+    runner = Runner(Configuration(command_args=arguments))
+    runner.run()
+    scenarios = [
+        scenario
+        for feature in runner.features
+        for scenario in feature.walk_scenarios()
+        if scenario.status.name != 'skipped'
+    ]
+    red = [known for known in scenarios if known.status.name != 'passed']
+    failed = [known for known in red if known.name not in known_names()]
+    _report(red, failed)
+    passed_count = len(scenarios) - len(red)
+    sys.stdout.write(f'{passed_count} passed, {len(failed)} failed\n')
+    return 1 if failed or not scenarios else 0
+
+
+def known_names() -> set[str]:
+    """Read which scenarios are known to fail.
+
+    :returns: Names after ``test:`` in KNOWN-RED.txt.
+    """
+    if not KNOWN_RED.exists():
+        return set()
+    return {
+        line.removeprefix('test:').strip()
+        for line in KNOWN_RED.read_text().splitlines()
+        if line.startswith('test:')
+    }
+
+
+def _report(red: list[Scenario], failed: list[Scenario]) -> None:
+    for scenario in red:
+        word = 'failed' if scenario in failed else 'known red'
+        sys.stdout.write(f'{word}: {scenario.location} {scenario.name}\n')
+
+
+if __name__ == '__main__':
+    sys.exit(run(sys.argv[1:]))
--- /dev/null
+++ b/tests/support/decided.py
@@ -0,0 +1,142 @@
+"""One query under an explicit clock: events in, actions noted."""
+
+import random
+
+from celeryturn.decisions import course, fleet, query
+from celeryturn.decisions.merging import merge
+from celeryturn.decisions.messages import QueryAnswer, Record, Reply
+from celeryturn.decisions.planning import Ask, QueryKind, plan_query
+from celeryturn.decisions.views import Report
+from tests.support.documents import published
+
+SEED = 7
+NEVER_SECONDS = float('inf')
+
+
+class DecidedQuery:
+    """A query whose targets are the scenario itself.
+
+    :param service: State of the service.
+    :param state: State of the query, once begun.
+    :param now_seconds: The clock.
+    :param under_way: Attempts sent and not ended, by number.
+    :param sent: Every attempt sent, in order.
+    :param cancelled: Every attempt cancelled, in order.
+    :param is_finished: Whether the answer was decided on.
+    """
+
+    def __init__(self, raw: dict[str, object]) -> None:
+        self.now_seconds = 1000.0
+        self.service = fleet.ServiceState(published(raw), self.now_seconds)
+        fleet.put_in_force(
+            self.service, self.service.published, 1, self.now_seconds
+        )
+        self.under_way: dict[int, course.Attempt] = {}
+        self.sent: list[course.Attempt] = []
+        self.cancelled: list[course.Attempt] = []
+        self.wake_seconds = NEVER_SECONDS
+        self.is_finished = False
+        self.is_short = False
+        self._random = random.Random(SEED)
+
+    def begin(self, deadline_seconds: float, key: str = '') -> None:
+        """Admit the query."""
+        ask = Ask(
+            QueryKind.SEARCH, 'reservas', key, '', (), 100, deadline_seconds
+        )
+        snapshot = fleet.current_snapshot(self.service, self.now_seconds)
+        plan = plan_query(
+            self.service.document, ask, snapshot, self.now_seconds
+        )
+        self.state = query.QueryState(plan)
+        self.apply(query.begin(self.state, self.context()))
+
+    def context(self) -> course.Context:
+        """Build what decisions may look at."""
+        return course.Context(
+            views=self.service.views,
+            zone='zone-a',
+            budget=self.service.budget,
+            window=self.service.window,
+            is_short=self.is_short,
+            now_seconds=self.now_seconds,
+            random=self._random.random,
+        )
+
+    def apply(self, actions: course.Actions) -> None:
+        """Note what was decided."""
+        for action in actions:
+            match action:
+                case course.Send(attempt):
+                    self.under_way[attempt.number] = attempt
+                    self.sent.append(attempt)
+                case course.Cancel(attempt):
+                    self.under_way.pop(attempt.number, None)
+                    self.cancelled.append(attempt)
+                case course.Wake(at_seconds):
+                    self.wake_seconds = at_seconds
+                case course.Finish():
+                    assert not self.is_finished, 'finished twice'
+                    self.is_finished = True
+
+    def reply(
+        self, attempt: course.Attempt, snapshot: int = 0, index: int = 1
+    ) -> None:
+        """Let a target reply, with one record of its shard."""
+        self.under_way.pop(attempt.number, None)
+        read = snapshot or self.state.plan.snapshot
+        reply = Reply(
+            'reservas',
+            attempt.shard,
+            index,
+            read,
+            [record(f'{attempt.shard}/1', snapshot=read)],
+            Report(),
+        )
+        self.apply(
+            query.on_reply(self.state, attempt.number, reply, self.context())
+        )
+
+    def fail(self, attempt: course.Attempt, failure: str) -> None:
+        """Let an attempt fail."""
+        self.under_way.pop(attempt.number, None)
+        self.apply(
+            query.on_failure(
+                self.state,
+                attempt.number,
+                course.Failure(failure),
+                self.context(),
+            )
+        )
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass, waking the query whenever it asked for it."""
+        end_seconds = self.now_seconds + seconds
+        while self.wake_seconds <= end_seconds and not self.is_finished:
+            self.now_seconds = max(self.now_seconds, self.wake_seconds)
+            self.wake_seconds = NEVER_SECONDS
+            self.apply(query.on_wake(self.state, self.context()))
+        self.now_seconds = end_seconds
+
+    def attempts_of(self, shard: str) -> list[course.Attempt]:
+        """List what is under way for a shard."""
+        return [
+            attempt
+            for attempt in self.under_way.values()
+            if attempt.shard == shard
+        ]
+
+    def answer(self) -> QueryAnswer:
+        """Merge the answer."""
+        return merge(self.state, self.now_seconds)
+
+
+def record(key: str, schema_version: int = 1, snapshot: int = 0) -> Record:
+    """Make a record that names the snapshot it was read from."""
+    return Record(
+        key=key,
+        schema_version=schema_version,
+        starts_at_seconds=0,
+        free_count=1,
+        text=f'snapshot {snapshot}',
+    )
--- /dev/null
+++ b/tests/support/documents.py
@@ -0,0 +1,80 @@
+"""Documents small enough to read."""
+
+from typing import Any, Final
+
+import msgspec
+
+from celeryturn.decisions.document import Published, parse_document
+from celeryturn.units import HASH_SLOTS
+
+ZONES: Final = ('zone-a', 'zone-b', 'zone-c')
+FIRST_PORT: Final = 20_000
+
+
+def raw_document(
+    service: str = 'reservas',
+    shard_count: int = 4,
+    replica_count: int = 3,
+    **fields: Any,
+) -> dict[str, Any]:
+    """Build a document whose shards have replicas of their own.
+
+    :param service: Name of the service.
+    :param shard_count: How many shards.
+    :param replica_count: How many replicas each.
+    :param fields: Fields that replace the usual ones.
+    :returns: Plain mappings.
+    """
+    bounds = [
+        HASH_SLOTS * number // shard_count for number in range(shard_count + 1)
+    ]
+    shards = {
+        f's{number:02}': {
+            'first_hash': bounds[number],
+            'last_hash': bounds[number + 1] - 1,
+            'replicas': [
+                f's{number:02}-{place}' for place in range(replica_count)
+            ],
+        }
+        for number in range(shard_count)
+    }
+    names = [name for shard in shards.values() for name in shard['replicas']]
+    document = {
+        'format': 1,
+        'service': service,
+        'version': 1,
+        'serving_index': 1,
+        'indexes': [
+            {
+                'version': 1,
+                'snapshot': 100,
+                'schema_version': 2,
+                'shards': shards,
+            }
+        ],
+        'targets': {name: _target(number) for number, name in enumerate(names)},
+        'homes': {
+            name: {'target': shard['replicas'][0], 'epoch': 1}
+            for name, shard in shards.items()
+        },
+    }
+    return {**document, **fields}
+
+
+def published(raw: dict[str, Any]) -> Published:
+    """Publish a document.
+
+    :param raw: Plain mappings.
+    :returns: The valid document.
+    """
+    return parse_document(msgspec.json.encode(raw))
+
+
+def _target(number: int) -> dict[str, Any]:
+    return {
+        'address': '127.0.0.1',
+        'port': FIRST_PORT + number,
+        'availability_zone': ZONES[number % len(ZONES)],
+        'slots': 4,
+        'connections': 40,
+    }
