--- a/celeryturn/app.py
+++ b/celeryturn/app.py
@@ -148,7 +148,7 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_seconds):
                 await self.network.first_heard.wait()
-        while not instance.services:
+        while not instance.services or peers.behind(self.network):
             await asyncio.sleep(READY_CHECK_SECONDS)
         instance.is_ready = True
         log(
--- a/celeryturn/http/client.py
+++ b/celeryturn/http/client.py
@@ -7,10 +7,11 @@
 import h11
 
 from celeryturn.http.messages import HttpReply, HttpRequest
+from celeryturn.timer import Timer
 
 OnDone: TypeAlias = Callable[[HttpReply | Exception], None]
 
-MAX_REPLY_BYTES: Final = 8_000_000
+CLOSE_SECONDS: Final = 1.0
 
 
 class ExchangeError(ConnectionError):
@@ -33,6 +34,8 @@
         self._on_done: OnDone | None = None
         self._reply = HttpReply(0)
         self._parts: list[bytes] = []
+        self._timer = Timer()
+        self._on_closed: Callable[[], None] | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -48,7 +51,11 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange under way, if any."""
         self.is_open = False
+        self._timer.disarm()
         self._end(ExchangeError(f'connection lost: {exc}'))
+        if self._on_closed is not None:
+            self._on_closed()
+            self._on_closed = None
 
     def data_received(self, chunk: bytes) -> None:
         """Feed the parser and end the exchange when the reply is whole."""
@@ -75,12 +82,27 @@
             self._transport.write(self._serialize(request))
 
     def close(self) -> None:
-        """Close; an exchange under way gets no further reply."""
+        """Close at once; an exchange under way gets no further reply."""
         self.is_open = False
         self._on_done = None
         if self._transport is not None:
             self._transport.abort()
 
+    def finish(self, on_closed: Callable[[], None]) -> None:
+        """Ask the other side to close; an exchange under way is given up.
+
+        :param on_closed: Called once the other side has closed too, or has
+            not done so for a while: until then it counts the connection.
+        """
+        self.is_open = False
+        self._on_done = None
+        if self._transport is None or self._transport.is_closing():
+            on_closed()
+            return
+        self._on_closed = on_closed
+        self._transport.write_eof()
+        self._timer.arm(CLOSE_SECONDS, self._transport.abort)
+
     async def exchange(self, request: HttpRequest) -> HttpReply:
         """Write a request and wait for its whole reply.
 
--- a/celeryturn/http/server.py
+++ b/celeryturn/http/server.py
@@ -200,6 +200,7 @@
 
     def _begin_request(self, event: h11.Request) -> None:
         self._parts.clear()
+        _require_small_head(event)
         self._request = HttpRequest(
             event.method.decode('latin-1'),
             event.target.decode('latin-1'),
@@ -279,6 +280,17 @@
             self._transport.write(encoded)
 
 
+def _require_small_head(event: h11.Request) -> None:
+    # The parser bounds only heads that come in parts.
+    size_bytes = len(event.target) + sum(
+        len(name) + len(text) for name, text in event.headers
+    )
+    if size_bytes > MAX_HEAD_BYTES:
+        raise CeleryturnError(
+            Kind.TOO_LARGE, f'a head may have {MAX_HEAD_BYTES} bytes'
+        )
+
+
 def _decode_headers(event: h11.Request) -> Headers:
     return tuple(
         (name.decode('latin-1'), text.decode('latin-1'))
--- a/celeryturn/peers/network.py
+++ b/celeryturn/peers/network.py
@@ -12,7 +12,12 @@
 from celeryturn.decisions.document import Published
 from celeryturn.errors import CeleryturnError
 from celeryturn.events import PEER_REFUSED, log
-from celeryturn.instance import Instance, log_members, versions_of
+from celeryturn.instance import (
+    MOST_SERVICES,
+    Instance,
+    log_members,
+    versions_of,
+)
 from celeryturn.peers import messages
 from celeryturn.peers.dialogue import reply_to
 from celeryturn.platform.watcher import share_anew
@@ -48,12 +53,14 @@
     :param dialling: Tasks of dialled links, by name of the peer.
     :param watched: Neighbours whose silence counts.
     :param first_heard: Set when a peer has told its versions.
+    :param heard_versions: Newest version of each service a peer has told.
     :param server: Accepts links, once started.
     """
 
     __slots__ = (
         'dialling',
         'first_heard',
+        'heard_versions',
         'instance',
         'links',
         'server',
@@ -66,6 +73,7 @@
         self.dialling: dict[str, asyncio.Task[None]] = {}
         self.watched: set[str] = set()
         self.first_heard = asyncio.Event()
+        self.heard_versions: dict[str, int] = {}
         self.server: Server | None = None
         instance.on_adopted.append(lambda adopted: _on_adopted(self, adopted))
 
@@ -96,8 +104,9 @@
     every_seconds = instance.settings.timing.gossip_every_seconds
     while not instance.is_closing:
         dial_neighbours(network)
-        ping = messages.Ping(instance.clock())
-        broadcast(network, ping)
+        broadcast(network, messages.Ping(instance.clock()))
+        for name in behind(network):
+            broadcast(network, messages.Want(name))
         changed = membership.tick(
             instance.membership, network.watched, instance.clock()
         )
@@ -105,6 +114,20 @@
         await asyncio.sleep(every_seconds)
 
 
+def behind(network: Network) -> list[str]:
+    """Name the services of which a peer has told a newer version.
+
+    :param network: The network.
+    :returns: Names; empty when this instance has caught up.
+    """
+    held = versions_of(network.instance)
+    return [
+        name
+        for name, version in network.heard_versions.items()
+        if held.get(name, 0) < version
+    ]
+
+
 def dial_neighbours(network: Network) -> None:
     """Keep a link to each neighbour, and try one that is thought gone.
 
@@ -278,7 +301,7 @@
     if isinstance(message, messages.Hello):
         link.instance = message.instance
     if isinstance(message, messages.Versions):
-        network.first_heard.set()
+        _note_versions(network, message)
     if link.instance:
         membership.heard(instance.membership, link.instance, instance.clock())
     if isinstance(message, messages.Members):
@@ -288,6 +311,14 @@
         put(link, reply)
 
 
+def _note_versions(network: Network, message: messages.Versions) -> None:
+    network.first_heard.set()
+    heard = network.heard_versions
+    for name, version in message.versions.items():
+        if name in heard or len(heard) < MOST_SERVICES:
+            heard[name] = max(version, heard.get(name, 0))
+
+
 def _take_members(
     network: Network, link: PeerLink, offered: Iterable[membership.Member]
 ) -> None:
--- a/celeryturn/targets/links.py
+++ b/celeryturn/targets/links.py
@@ -223,13 +223,13 @@
     if link is None:
         return before
     if course.connection is not None:
-        course.connection.close()
+        course.connection.finish(lambda: _release(links, link))
         course.connection = None
-        _release(links, link)
     elif link.waiting.pop(course.ticket, None) is not None:
         limits.withdraw(link.view.gate, course.ticket)
     # One whose connection is being opened keeps its place until it is open,
-    # so that no other is opened beside it beyond the share.
+    # one that was written until the target has closed its connection: no
+    # other may be opened beside it beyond the share.
     return before
 
 
--- a/standins/target.py
+++ b/standins/target.py
@@ -81,7 +81,9 @@
     :param shards: Names of the shards it holds.
     :param script: How it behaves now.
     :param boot: Changes when it starts again.
-    :param log: What it was asked: kind and clock time.
+    :param log: What it was asked: path and clock time.
+    :param false_health: What its health endpoint says in place of the truth.
+    :param most_connections_seen: Most connections open at once, so far.
     """
 
     def __init__(
@@ -99,6 +101,7 @@
         self.boot = f'{name}-1'
         self.log: list[tuple[str, float]] = []
         self.most_connections_seen = 0
+        self.false_health: dict[str, Any] = {}
         self._random = random.Random(name)
         self._slots = asyncio.Semaphore(slots)
         self._queue_count = 0
@@ -114,7 +117,7 @@
         path, _ = split_url(request.url)
         self.log.append((path, asyncio.get_running_loop().time()))
         if path == '/v1/health':
-            return json_reply(OK, self.report())
+            return json_reply(OK, {**self.report(), **self.false_health})
         if path == '/script':
             self.script = self.script._replace(
                 **msgspec.json.decode(request.body)
--- /dev/null
+++ b/tests/commands/booking.feature
@@ -0,0 +1,94 @@
+Feature: A booking runs at most once
+  "Not run" is said only where it was not run; silence after the write is
+  "unknown".
+
+  Background:
+    Given a platform
+    And service "reservas" with 2 shards and 2 replicas each
+    And 1 instance that is ready
+
+  Scenario: A booking is run once at its home
+    When a caller books "site-0001/0" as "b-1"
+    Then the booking is run
+    And "b-1" was run 1 time
+
+  Scenario: The same id is not sent again
+    When a caller books "site-0001/0" as "b-1"
+    And a caller books "site-0001/0" as "b-1"
+    Then the refusal is CT-305 with status 409, "not_run"
+    And "b-1" was run 1 time
+
+  Scenario: A place that is taken
+    When a caller books 8 places of "site-0001/0" as "b-1"
+    And a caller books "site-0001/0" as "b-2"
+    Then the refusal is CT-306 with status 409, "run"
+
+  Scenario: The reply is lost after the booking ran
+    Given every target loses the replies to bookings
+    When a caller books "site-0001/0" as "b-1"
+    Then the refusal is CT-307 with status 504, "unknown"
+    And "b-1" was run 1 time
+
+  Scenario: The home is lost before anything is written
+    Given every target is lost to new connections
+    When a caller books "site-0001/0" as "b-1"
+    Then the refusal is CT-304 with status 503, "not_run"
+    And "b-1" was run 0 times
+
+  Scenario: One that was not run may be sent again
+    Given every target is lost to new connections
+    When a caller books "site-0001/0" as "b-1"
+    And every target is back
+    And a caller books "site-0001/0" as "b-1"
+    Then the booking is run
+    And "b-1" was run 1 time
+
+  Scenario: The home says that it is leaving
+    Given every target drains
+    When a caller books "site-0001/0" as "b-1"
+    Then the refusal is CT-304 with status 503, "not_run"
+    And "b-1" was run 0 times
+
+  Scenario: The home stays silent past the deadline
+    Given every target takes 5 seconds
+    When a caller books "site-0001/0" as "b-1" within 0.2 seconds
+    Then the refusal is CT-307 with status 504, "unknown"
+
+  Scenario: The caller goes away after the write
+    Given every target takes 0.3 seconds
+    When a caller books "site-0001/0" as "b-1" and goes away once it is written
+    Then "b-1" was run 1 time in the end
+    And the instance knows the outcome of "b-1"
+
+  Scenario: A held home
+    When operators hold the homes of "reservas" in version 2
+    And the instances serve version 2 of "reservas"
+    And a caller books "site-0001/0" as "b-1"
+    Then the refusal is CT-301 with status 503, "not_run"
+    And "b-1" was run 0 times
+
+  Scenario: A home that moved takes the booking at the new target only
+    When operators hold the homes of "reservas" in version 2
+    And operators move the homes of "reservas" to the second replica in version 3
+    And the instances serve version 3 of "reservas"
+    And a caller books "site-0001/0" as "b-1"
+    Then the booking is run
+    And "b-1" was run at a second replica
+
+  Scenario: A process that paused with a booking in hand does not write it
+    When a caller books "site-0001/0" as "b-1" and the process pauses 60 seconds before the write
+    Then the refusal is CT-201 with status 504, "not_run"
+    And "b-1" was run 0 times
+
+  Scenario: Configuration that nobody confirmed for long
+    Given the configuration service is down
+    And the last confirmation is 60 seconds old
+    When a caller books "site-0001/0" as "b-1"
+    Then the refusal is CT-303 with status 503, "not_run"
+    And "b-1" was run 0 times
+
+  Scenario: A target that checks the epoch refuses one that has moved
+    Given every target checks epochs and its shards are at epoch 2
+    When a caller books "site-0001/0" as "b-1"
+    Then the refusal is CT-304 with status 503, "not_run"
+    And "b-1" was run 0 times
--- /dev/null
+++ b/tests/entry/answers.feature
@@ -0,0 +1,69 @@
+Feature: Answers over real connections
+
+  Background:
+    Given a platform
+    And service "reservas" with 4 shards and 3 replicas each
+    And 1 instance that is ready
+
+  Scenario: A search covers every shard
+    When a caller searches "reservas"
+    Then the answer covers 4 of 4 shards
+    And it has 96 records of snapshot 100
+
+  Scenario: A quick-check brings the next free place of a site
+    When a caller checks "reservas" at "site-0003"
+    Then the answer covers 1 of 1 shards
+    And its only record is "site-0003/0"
+
+  Scenario: A record that does not exist
+    When a caller reads "site-0003/99" of "reservas"
+    Then the refusal is CT-308 with status 404, "run"
+
+  Scenario: A lost replica costs no coverage
+    Given target "s01-0" is lost
+    When a caller searches "reservas" 5 times
+    Then every answer covers 4 of 4 shards
+
+  Scenario: A lost shard is stated, and the rest is served
+    Given targets "s01-0 s01-1 s01-2" are lost
+    When a caller searches "reservas"
+    Then the answer covers 3 of 4 shards
+    And it lacks "s01"
+
+  Scenario: A straggler is overtaken
+    Given target "s02-0" is 500 times slower
+    And target "s02-1" is 500 times slower
+    When a caller searches "reservas" 5 times
+    Then every answer covers 4 of 4 shards
+
+  Scenario: Shedding targets are stated truly
+    Given targets "s00-0 s00-1 s00-2" shed everything
+    When a caller searches "reservas" within 0.3 seconds
+    Then the answer covers 3 of 4 shards
+    And it lacks "s00"
+
+  Scenario: An index that moves on under a query
+    When operators publish index 2 of "reservas" with 6 shards
+    And the instances serve version 2 of "reservas"
+    And a caller searches "reservas"
+    Then the answer covers 6 of 6 shards
+    And it is of index 2
+
+  Scenario: A target that serves another service is not believed
+    When operators publish that target "s01-0" stands where another service's does
+    And the instances serve version 2 of "reservas"
+    And a caller searches "reservas" 4 times
+    Then every answer covers 4 of 4 shards
+    And no record is of another service
+
+  Scenario: Operators see what an instance does
+    When a caller searches "reservas"
+    Then the state dump names every table with its bound
+    And the metrics count 1 answer
+    And the plan of a search names 4 shards and a reason for each replica
+
+  Scenario: An instance that knows of no configuration refuses as not run
+    Given the configuration service is down
+    And 1 more instance that has started
+    When a caller searches "reservas" at the newest instance before it is ready
+    Then the refusal is CT-203 with status 503, "not_run"
--- /dev/null
+++ b/tests/steps/booking.py
@@ -0,0 +1,146 @@
+"""Steps in which callers book."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+from behave import then, when
+from behave.runner import Context
+
+from celeryturn.decisions.bookings import IN_FLIGHT
+from celeryturn.http.messages import HttpRequest
+from tests.support.world import until
+
+
+@when('a caller books "{key}" as "{booking_id}"')
+def book(context: Context, key: str, booking_id: str) -> None:
+    """Book one place."""
+    _book(context, key, booking_id)
+
+
+@when('a caller books {places:d} places of "{key}" as "{booking_id}"')
+def book_places(
+    context: Context, places: int, key: str, booking_id: str
+) -> None:
+    """Book several places."""
+    _book(context, key, booking_id, places_count=places)
+
+
+@when('a caller books "{key}" as "{booking_id}" within {seconds:g} seconds')
+def book_within(
+    context: Context, key: str, booking_id: str, seconds: float
+) -> None:
+    """Book with a deadline."""
+    _book(context, key, booking_id, deadline_seconds=seconds)
+
+
+@when(
+    'a caller books "{key}" as "{booking_id}" and goes away once it is written'
+)
+def book_and_leave(context: Context, key: str, booking_id: str) -> None:
+    """Close the connection after the write."""
+
+    async def go() -> None:
+        connection = await context.world.connect()
+        body = msgspec.json.encode(_body(key, booking_id))
+        request = HttpRequest('POST', '/v1/book', body=body)
+        connection.start(request, lambda outcome: None)
+        await until(
+            lambda: any(
+                path == '/v1/book'
+                for standin in context.world.targets.values()
+                for path, _ in standin.log
+            )
+        )
+        connection.close()
+
+    context.loop.run_until_complete(go())
+
+
+@when(
+    'a caller books "{key}" as "{booking_id}" and the process pauses '
+    '{seconds:d} seconds before the write'
+)
+def book_and_pause(
+    context: Context, key: str, booking_id: str, seconds: int
+) -> None:
+    """Let time pass between admission and write."""
+    application = next(iter(context.world.applications.values()))
+    real_clock = application.instance.clock
+
+    async def go() -> None:
+        task = asyncio.create_task(
+            context.world.ask('POST', '/v1/book', _body(key, booking_id))
+        )
+        while not application.links.opening:
+            await asyncio.sleep(0)
+        application.instance.clock = lambda: real_clock() + seconds
+        await task
+
+    context.loop.run_until_complete(go())
+
+
+@then('the booking is run')
+def expect_run(context: Context) -> None:
+    """Expect a booking that was run."""
+    reply = context.world.answers[-1]
+    assert reply.status == 200, reply
+    answer = msgspec.json.decode(reply.body)
+    assert (answer['run'], answer['outcome']) == ('run', 'booked'), answer
+
+
+@then('"{booking_id}" was run {count:d} time')
+@then('"{booking_id}" was run {count:d} times')
+def expect_runs(context: Context, booking_id: str, count: int) -> None:
+    """Expect so many runs at all targets together."""
+    runs = _runs(context, booking_id)
+    assert len(runs) == count, runs
+
+
+@then('"{booking_id}" was run {count:d} time in the end')
+def expect_runs_in_the_end(
+    context: Context, booking_id: str, count: int
+) -> None:
+    """Wait for a run whose caller has gone."""
+    context.loop.run_until_complete(
+        until(lambda: len(_runs(context, booking_id)) == count)
+    )
+
+
+@then('"{booking_id}" was run at a second replica')
+def expect_moved(context: Context, booking_id: str) -> None:
+    """Expect the run at the new home."""
+    targets = [run['target'] for run in _runs(context, booking_id)]
+    assert len(targets) == 1, targets
+    assert targets[0].endswith('-1'), targets
+
+
+@then('the instance knows the outcome of "{booking_id}"')
+def expect_outcome(context: Context, booking_id: str) -> None:
+    """Expect that the outcome is kept though the caller has gone."""
+    instance = next(iter(context.world.applications.values())).instance
+    outcomes = instance.bookings.outcomes
+    context.loop.run_until_complete(
+        until(lambda: outcomes.get(booking_id) != IN_FLIGHT)
+    )
+    assert outcomes[booking_id] == 'booked', outcomes
+
+
+def _book(
+    context: Context, key: str, booking_id: str, **fields: object
+) -> None:
+    body = {**_body(key, booking_id), **fields}
+    context.loop.run_until_complete(context.world.ask('POST', '/v1/book', body))
+
+
+def _body(key: str, booking_id: str) -> dict[str, object]:
+    return {'service': 'reservas', 'key': key, 'booking_id': booking_id}
+
+
+def _runs(context: Context, booking_id: str) -> list[dict[str, Any]]:
+    return [
+        run
+        for dataset in context.world.datasets.values()
+        for run in dataset.bookings
+        if run['booking_id'] == booking_id
+    ]
--- /dev/null
+++ b/tests/steps/requests.py
@@ -0,0 +1,404 @@
+"""Steps in which callers make requests."""
+
+import asyncio
+import random
+from typing import Any
+
+import msgspec
+from behave import given, then, when
+from behave.runner import Context
+
+from celeryturn.http.client import Connection
+from celeryturn.http.messages import HttpReply, HttpRequest
+from celeryturn.instance import Instance
+from standins.topology import RECORDS_PER_SITE, SITES_PER_SHARD
+from tests.support.world import WAIT_SECONDS, World, until
+
+SEED = 11
+
+
+@given('requests must be whole within {seconds:g} seconds')
+def set_request_time(context: Context, seconds: float) -> None:
+    """Shorten the time a request may take to come in."""
+    _server(context).limits.request_seconds = seconds
+
+
+@when('a caller posts json {body} to {path}')
+def post(context: Context, body: str, path: str) -> None:
+    """Post a body as it stands."""
+    request = HttpRequest('POST', path, body=body.encode())
+    _exchange(context, request)
+
+
+@when('a caller posts a body of {size:d} bytes to {path}')
+def post_large(context: Context, size: int, path: str) -> None:
+    """Post a body of a size."""
+    _exchange(context, HttpRequest('POST', path, body=b'x' * size))
+
+
+@when('a caller sends a header of {size:d} bytes')
+def send_header(context: Context, size: int) -> None:
+    """Send a header of a size."""
+    head = b'GET / HTTP/1.1\r\nhost: a\r\nx: %s\r\n\r\n'
+    _send_raw(context, head % (b'y' * size))
+
+
+@when('a caller sends the bytes "{escaped}" and closes')
+def send_and_close(context: Context, escaped: str) -> None:
+    """Send bytes and go away."""
+
+    async def go() -> None:
+        _, writer = await asyncio.open_connection(*context.world.place())
+        writer.write(_unescape(escaped))
+        await writer.drain()
+        await until(lambda: bool(_server(context).connections))
+        writer.close()
+        await writer.wait_closed()
+
+    context.loop.run_until_complete(go())
+
+
+@when('a caller sends the bytes "{escaped}"')
+def send_bytes(context: Context, escaped: str) -> None:
+    """Send bytes and read to the end."""
+    _send_raw(context, _unescape(escaped))
+
+
+@when('a caller sends two requests in one packet')
+def send_two(context: Context) -> None:
+    """Pipeline two requests."""
+    one = b'GET /v1/%s HTTP/1.1\r\nhost: a\r\n%s\r\n'
+    last = b'connection: close\r\n'
+    packet = one % (b'addresses', b'') + one % (b'state', last)
+    _send_raw(context, packet)
+
+
+@then('both are answered in order')
+def expect_two(context: Context) -> None:
+    """Expect both answers, the first one first."""
+    assert context.raw.count(b'HTTP/1.1 200') == 2, context.raw
+    assert context.raw.index(b'keep_seconds') < context.raw.index(b'tables')
+
+
+@then('the refusal is {code} with status {status:d}, "{run}"')
+def expect_refusal(context: Context, code: str, status: int, run: str) -> None:
+    """Expect a refusal by code, status and word on the run."""
+    reply = context.world.answers[-1]
+    assert reply.status == status, reply
+    told = msgspec.json.decode(reply.body)['error']
+    assert (told['code'], told['run']) == (code, run), told
+    if told['retry_after_seconds']:
+        assert any(name == 'retry-after' for name, _ in reply.headers)
+
+
+@then('the refusal names "{names}"')
+def expect_faults(context: Context, names: str) -> None:
+    """Expect just these fields among the faults."""
+    told = _answer(context)['error']
+    paths = sorted(fault['path'] for fault in told['faults'])
+    assert paths == names.split(), told
+
+
+@then('the connection is closed')
+def expect_closed(context: Context) -> None:
+    """Expect that the instance closed it."""
+    assert context.is_closed
+
+
+@then('the instance has no connection of callers left')
+def expect_no_connection(context: Context) -> None:
+    """Expect that nothing is left over."""
+    context.loop.run_until_complete(
+        until(lambda: not _server(context).connections)
+    )
+
+
+@when('a caller searches "{service}"')
+def search(context: Context, service: str) -> None:
+    """Search once."""
+    _ask(context, '/v1/search', {'service': service, 'limit_count': 1000})
+
+
+@when('a caller searches "{service}" {count:d} times')
+def search_often(context: Context, service: str, count: int) -> None:
+    """Search several times, one after the other."""
+    context.world.answers.clear()
+    for _ in range(count):
+        search(context, service)
+
+
+@when('a caller searches "{service}" within {seconds:g} seconds')
+def search_within(context: Context, service: str, seconds: float) -> None:
+    """Search with a deadline."""
+    body = {'service': service, 'deadline_seconds': seconds}
+    _ask(context, '/v1/search', body)
+
+
+@when('a caller searches "{service}" at the newest instance before it is ready')
+def search_early(context: Context, service: str) -> None:
+    """Ask an instance that has no configuration yet."""
+    name = context.newest
+    assert not context.world.applications[name].instance.is_ready
+    _ask(context, '/v1/search', {'service': service}, name)
+
+
+@when('a caller checks "{service}" at "{site}"')
+def quickcheck(context: Context, service: str, site: str) -> None:
+    """Ask for the next free place."""
+    _ask(context, '/v1/quickcheck', {'service': service, 'site': site})
+
+
+@when('a caller reads "{key}" of "{service}"')
+def read_record(context: Context, key: str, service: str) -> None:
+    """Read one record."""
+    _ask(context, '/v1/record', {'service': service, 'key': key})
+
+
+@when(
+    'a caller searches "{service}" and goes away once {count:d} '
+    'sub-requests are under way'
+)
+def search_and_leave(context: Context, service: str, count: int) -> None:
+    """Close the connection while sub-requests are under way."""
+    instance = _instance(context)
+
+    async def go() -> None:
+        connection = await context.world.connect()
+        body = msgspec.json.encode({'service': service})
+        request = HttpRequest('POST', '/v1/search', body=body)
+        connection.start(request, lambda outcome: None)
+        await until(lambda: _in_flight(instance) >= count)
+        connection.close()
+
+    context.loop.run_until_complete(go())
+
+
+@then('no sub-request is under way')
+def expect_idle(context: Context) -> None:
+    """Expect that every sub-request was ended."""
+    instance = _instance(context)
+    context.loop.run_until_complete(until(lambda: not _in_flight(instance)))
+
+
+@when(
+    '{count:d} callers ask for records of their own, {gone:d} of them '
+    'going away'
+)
+def ask_many(context: Context, count: int, gone: int) -> None:
+    """Make many requests at once, some of which are given up."""
+    chance = random.Random(SEED)
+    leaving = set(chance.sample(range(count), gone))
+    context.loop.run_until_complete(_ask_many(context, count, leaving))
+
+
+@then('each of the others has its own record or a refusal')
+def expect_own(context: Context) -> None:
+    """Expect no crossed answer, and that most were served."""
+    served = 0
+    for key, reply in context.own.items():
+        told = msgspec.json.decode(reply.body)
+        if reply.status == 200:
+            served += 1
+            assert [found['key'] for found in told['records']] == [key]
+        else:
+            assert 'error' in told
+    assert served > len(context.own) / 2, served
+
+
+@then('no target ever saw more than {most:d} connections')
+def expect_connections(context: Context, most: int) -> None:
+    """Expect that the limit of connections held."""
+    seen = {
+        name: standin.most_connections_seen
+        for name, standin in context.world.targets.items()
+    }
+    assert max(seen.values()) <= most, seen
+
+
+@then('the answer covers {included:d} of {whole:d} shards')
+def expect_coverage(context: Context, included: int, whole: int) -> None:
+    """Expect a coverage in the last answer."""
+    _expect_coverage(_answer(context), included, whole)
+
+
+@then('every answer covers {included:d} of {whole:d} shards')
+def expect_all_coverage(context: Context, included: int, whole: int) -> None:
+    """Expect a coverage in every answer of the step before."""
+    for reply in context.world.answers:
+        _expect_coverage(msgspec.json.decode(reply.body), included, whole)
+
+
+@then('it lacks "{shards}"')
+def expect_lacks(context: Context, shards: str) -> None:
+    """Expect just these shards to be lacking."""
+    lacking = _answer(context)['coverage']['lacking']
+    assert [entry['shard'] for entry in lacking] == shards.split(), lacking
+
+
+@then('it has {count:d} records of snapshot {snapshot:d}')
+def expect_records(context: Context, count: int, snapshot: int) -> None:
+    """Expect so many records, and the snapshot."""
+    answer = _answer(context)
+    assert len(answer['records']) == count, len(answer['records'])
+    assert answer['snapshot'] == snapshot
+
+
+@then('it is of index {number:d}')
+def expect_index(context: Context, number: int) -> None:
+    """Expect an index version."""
+    assert _answer(context)['index_version'] == number
+
+
+@then('its only record is "{key}"')
+def expect_only(context: Context, key: str) -> None:
+    """Expect one record."""
+    keys = [found['key'] for found in _answer(context)['records']]
+    assert keys == [key], keys
+
+
+@then('no record is of another service')
+def expect_service(context: Context) -> None:
+    """Expect records of the service that was asked for."""
+    for reply in context.world.answers:
+        for found in msgspec.json.decode(reply.body)['records']:
+            assert found['text'].startswith('reservas'), found
+
+
+@then('the state dump names every table with its bound')
+def expect_dump(context: Context) -> None:
+    """Expect the dump of the process."""
+    dump = _get(context, '/v1/state')
+    assert dump['tables']
+    for bound in dump['tables'].values():
+        assert 0 <= bound['held'] <= bound['most'], dump['tables']
+    assert set(dump['services']) == {'reservas'}
+
+
+@then('the metrics count {count:d} answer')
+def expect_metrics(context: Context, count: int) -> None:
+    """Expect the answer in the metrics."""
+    reply = context.loop.run_until_complete(
+        context.world.ask('GET', '/metrics')
+    )
+    line = next(
+        line
+        for line in reply.body.decode().splitlines()
+        if line.startswith('celeryturn_answers_total{')
+    )
+    assert line.endswith(f' {count}'), line
+
+
+@then(
+    'the plan of a search names {count:d} shards and a reason for each replica'
+)
+def expect_plan(context: Context, count: int) -> None:
+    """Expect the explanation of a search."""
+    plan = _get(context, '/v1/explain?service=reservas')
+    assert len(plan['shards']) == count, plan
+    for shard in plan['shards']:
+        assert all(replica['note'] for replica in shard['replicas'])
+
+
+async def _ask_many(context: Context, count: int, leaving: set[int]) -> None:
+    world = context.world
+    keys = [
+        f'site-{number % (4 * SITES_PER_SHARD):04}/{number % RECORDS_PER_SITE}'
+        for number in range(count)
+    ]
+    chance = random.Random(SEED)
+    tasks = [
+        asyncio.create_task(_own_record(world, key, chance.random() / 10))
+        for key in keys
+    ]
+    for number in leaving:
+        asyncio.get_running_loop().call_later(
+            chance.random() / 2, tasks[number].cancel
+        )
+    replies = await asyncio.gather(*tasks, return_exceptions=True)
+    context.own = {}
+    for number, reply in enumerate(replies):
+        if isinstance(reply, HttpReply):
+            context.own[keys[number]] = reply
+        else:
+            assert number in leaving, reply
+
+
+async def _own_record(
+    world: World, key: str, after_seconds: float
+) -> HttpReply:
+    await asyncio.sleep(after_seconds)
+    body = {'service': 'reservas', 'key': key, 'deadline_seconds': 10}
+    return await world.ask('POST', '/v1/record', body)
+
+
+def _expect_coverage(answer: Any, included: int, whole: int) -> None:
+    coverage = answer['coverage']
+    assert len(coverage['included']) == included, coverage
+    assert len(coverage['lacking']) == whole - included, coverage
+    assert coverage['is_complete'] == (included == whole)
+
+
+def _ask(context: Context, path: str, body: object, name: str = '') -> None:
+    context.loop.run_until_complete(context.world.ask('POST', path, body, name))
+
+
+def _get(context: Context, url: str) -> Any:
+    reply = context.loop.run_until_complete(context.world.ask('GET', url))
+    return msgspec.json.decode(reply.body)
+
+
+def _answer(context: Context) -> Any:
+    return msgspec.json.decode(context.world.answers[-1].body)
+
+
+def _exchange(context: Context, request: HttpRequest) -> None:
+    async def go() -> HttpReply:
+        connection: Connection = await context.world.connect()
+        try:
+            return await connection.exchange(request)
+        finally:
+            connection.close()
+
+    context.world.answers.append(context.loop.run_until_complete(go()))
+
+
+def _send_raw(context: Context, sent: bytes) -> None:
+    async def go() -> bytes:
+        reader, writer = await asyncio.open_connection(*context.world.place())
+        writer.write(sent)
+        async with asyncio.timeout(WAIT_SECONDS):
+            received = await reader.read(-1)
+        writer.close()
+        return received
+
+    context.raw = context.loop.run_until_complete(go())
+    context.is_closed = True
+    head, _, body = context.raw.partition(b'\r\n\r\n')
+    status = int(head.split()[1])
+    lines = head.decode().lower().split('\r\n')[1:]
+    headers = tuple(
+        (line.split(': ')[0], line.split(': ')[1]) for line in lines
+    )
+    context.world.answers.append(HttpReply(status, headers, body))
+
+
+def _unescape(escaped: str) -> bytes:
+    return escaped.replace(r'\r', '\r').replace(r'\n', '\n').encode()
+
+
+def _instance(context: Context) -> Instance:
+    application = next(iter(context.world.applications.values()))
+    instance: Instance = application.instance
+    return instance
+
+
+def _server(context: Context) -> Any:
+    return next(iter(context.world.applications.values())).server
+
+
+def _in_flight(instance: Instance) -> int:
+    return sum(
+        view.gate.in_flight
+        for service in instance.services.values()
+        for view in service.views.values()
+    )
--- /dev/null
+++ b/tests/steps/system.py
@@ -0,0 +1,354 @@
+"""Steps that start stand-ins and instances, and script the stand-ins."""
+
+from typing import Any
+
+import msgspec
+from behave import given, then, when
+from behave.runner import Context
+
+from celeryturn.decisions.document import MAX_DOCUMENT_BYTES
+from celeryturn.instance import versions_of
+from celeryturn.settings import Endpoint
+from examples.fleet import free_ports
+from tests.support.documents import raw_document
+from tests.support.world import ADDRESS, until
+
+
+@given('a platform')
+def start_platform(context: Context) -> None:
+    """Start the platform's stand-in."""
+    context.loop.run_until_complete(context.world.start_platform())
+
+
+@given(
+    'service "{service}" with {shards:d} shards and {replicas:d} replicas each'
+)
+def start_service(
+    context: Context, service: str, shards: int, replicas: int
+) -> None:
+    """Start targets and publish their document."""
+    context.loop.run_until_complete(
+        context.world.start_service(service, shards, replicas)
+    )
+
+
+@given('{count:d} instance that is ready')
+@given('{count:d} instances that are ready')
+def start_ready(context: Context, count: int) -> None:
+    """Start instances and wait until they serve."""
+    world = context.world
+    context.loop.run_until_complete(world.start_instances(count))
+    context.loop.run_until_complete(world.all_ready())
+
+
+@given('{count:d} more instance that has started')
+def start_more(context: Context, count: int) -> None:
+    """Start instances that hear of nobody."""
+    world = context.world
+    started = context.loop.run_until_complete(world.start_instances(count))
+    context.newest = started[-1].instance.settings.instance
+
+
+@given('the configuration service is down')
+def take_down(context: Context) -> None:
+    """Let every call to the platform fail."""
+    context.world.platform.is_down = True
+
+
+@given('the configuration service shows the present for ever')
+def freeze(context: Context) -> None:
+    """Let the service be stale from now on."""
+    context.world.platform.freeze()
+
+
+@given('the last confirmation is {seconds:d} seconds old')
+def age_confirmation(context: Context, seconds: int) -> None:
+    """Let time pass for every instance's configuration."""
+    for application in context.world.applications.values():
+        instance = application.instance
+        confirmed = instance.clock() - seconds
+        instance.freshness = instance.freshness._replace(
+            confirmed_seconds=confirmed
+        )
+
+
+@given('every target takes {seconds:g} seconds')
+def slow_all(context: Context, seconds: float) -> None:
+    """Set the latency of every target."""
+    _script_all(context, latency_seconds=seconds)
+
+
+@given('every target loses the replies to bookings')
+def lose_replies(context: Context) -> None:
+    """Let bookings run and stay unanswered."""
+    _script_all(context, loses_booking_replies=True)
+
+
+@given('every target is lost to new connections')
+def lose_all(context: Context) -> None:
+    """Let no connection to any target be opened."""
+    for standin in context.world.targets.values():
+        context.loop.run_until_complete(standin.server.stop(0))
+
+
+@when('every target is back')
+def back_all(context: Context) -> None:
+    """Listen again where the targets listened."""
+    for name, standin in context.world.targets.items():
+        port = _target_entry(context, name)['port']
+        context.loop.run_until_complete(standin.server.start(ADDRESS, port))
+        standin.server.is_closing = False
+
+
+@given('every target drains')
+def drain_all(context: Context) -> None:
+    """Let every target leave."""
+    _script_all(context, is_draining=True)
+
+
+@given('every target checks epochs and its shards are at epoch {epoch:d}')
+def check_epochs(context: Context, epoch: int) -> None:
+    """Let targets know a newer epoch than the instances."""
+    _script_all(context, checks_epoch=True)
+    for dataset in context.world.datasets.values():
+        dataset.epochs = {'s00': epoch, 's01': epoch}
+
+
+@given('target "{name}" is lost')
+@given('targets "{name}" are lost')
+def lose(context: Context, name: str) -> None:
+    """Let targets drop every connection."""
+    _script(context, name, is_lost=True)
+
+
+@given('target "{name}" is {factor:d} times slower')
+def slow(context: Context, name: str, factor: int) -> None:
+    """Make a straggler."""
+    _script(context, name, slow_factor=factor)
+
+
+@given('targets "{names}" shed everything')
+def shed(context: Context, names: str) -> None:
+    """Let targets shed all load."""
+    _script(context, names, shed_share=1.0)
+
+
+@given('target "{name}" drains')
+def drain(context: Context, name: str) -> None:
+    """Let one target leave."""
+    _script(context, name, is_draining=True)
+
+
+@given('the health of "{name}" falsely says that it serves')
+def false_health(context: Context, name: str) -> None:
+    """Let the health endpoint lag."""
+    standin = context.world.targets[name]
+    standin.false_health = {'draining': False, 'boot': standin.boot}
+
+
+@given('every instance is believed alive')
+@then('every instance is believed alive again')
+def all_alive(context: Context) -> None:
+    """Wait until every instance believes every other alive."""
+    applications = context.world.applications.values()
+    context.loop.run_until_complete(
+        until(
+            lambda: all(
+                _statuses(application) == {'alive'}
+                and len(application.instance.membership.members)
+                == len(applications)
+                for application in applications
+            )
+        )
+    )
+
+
+@when('operators publish version {version:d} of "{service}"')
+def publish_version(context: Context, version: int, service: str) -> None:
+    """Publish the same document as a newer version."""
+    _publish(context, service, version=version)
+
+
+@when(
+    'operators publish index {number:d} of "{service}" with {shards:d} shards'
+)
+def publish_index(
+    context: Context, number: int, service: str, shards: int
+) -> None:
+    """Publish a second index version whose shards lie elsewhere."""
+    world = context.world
+    replicas = list(world.documents[service]['targets'])
+    bounds = raw_document(service, shards, 1)['indexes'][0]['shards']
+    for place, shard in enumerate(bounds.values()):
+        shard['replicas'] = [replicas[place % len(replicas)]]
+    first = world.documents[service]['indexes'][0]
+    second = {**first, 'version': number, 'shards': bounds}
+    world.datasets[service].records[number] = {name: [] for name in bounds}
+    _publish(
+        context,
+        service,
+        version=2,
+        serving_index=number,
+        indexes=[first, second],
+    )
+
+
+@when(
+    'operators publish that target "{name}" stands where another service\'s '
+    'does'
+)
+def publish_wrong_place(context: Context, name: str) -> None:
+    """Publish a document that names a port of another service."""
+    world = context.world
+    context.loop.run_until_complete(world.start_service('other', 2, 1))
+    targets = dict(world.documents['reservas']['targets'])
+    port = world.documents['other']['targets']['s01-0']['port']
+    targets[name] = {**targets[name], 'port': port}
+    _publish(context, 'reservas', version=2, targets=targets)
+
+
+@when('operators publish that "{name}" of "{service}" is leaving')
+def publish_leaving(context: Context, name: str, service: str) -> None:
+    """Publish that a target leaves."""
+    targets = dict(context.world.documents[service]['targets'])
+    targets[name] = {**targets[name], 'state': 'leaving'}
+    _publish(context, service, version=2, targets=targets)
+    context.marks = {name: 0}
+
+
+@when('operators hold the homes of "{service}" in version {version:d}')
+def publish_held(context: Context, service: str, version: int) -> None:
+    """Publish the step that stops bookings."""
+    homes = {
+        shard: {**home, 'step': 'held'}
+        for shard, home in context.world.documents[service]['homes'].items()
+    }
+    _publish(context, service, version=version, homes=homes)
+
+
+@when(
+    'operators move the homes of "{service}" to the second replica in '
+    'version {version:d}'
+)
+def publish_moved(context: Context, service: str, version: int) -> None:
+    """Publish the step that moves the homes."""
+    homes = {
+        shard: {'target': f'{shard}-1', 'epoch': home['epoch'] + 1}
+        for shard, home in context.world.documents[service]['homes'].items()
+    }
+    _publish(context, service, version=version, homes=homes)
+
+
+@when('operators publish {fault} in "{service}"')
+def publish_fault(context: Context, fault: str, service: str) -> None:
+    """Publish something that must be refused."""
+    world = context.world
+    good = world.documents[service]
+    context.marks = {'log': len(context.log.getvalue())}
+    if fault == 'no JSON':
+        world.platform.publish(f'services/{service}', b'{"service": ')
+        return
+    shards = dict(good['indexes'][0]['shards'])
+    gap = {**shards, 's00': {**shards['s00'], 'last_hash': 5}}
+    moved = {
+        shard: {**home, 'target': f'{shard}-1'}
+        for shard, home in good['homes'].items()
+    }
+    changes: dict[str, dict[str, Any]] = {
+        'an older version': {'version': 2},
+        'the same version': {'deadline_seconds': 1.5},
+        'a wrong type': {'version': 9, 'deadline_seconds': 'long'},
+        'a gap in a map': {
+            'version': 9,
+            'indexes': [{**good['indexes'][0], 'shards': gap}],
+        },
+        'a reused epoch': {'version': 9, 'homes': moved},
+    }
+    body = msgspec.json.encode({**good, **changes[fault]})
+    world.platform.publish(f'services/{service}', body)
+
+
+@when('the instances serve version {version:d} of "{service}"')
+@then('the instances serve version {version:d} of "{service}"')
+def all_serve(context: Context, version: int, service: str) -> None:
+    """Wait until a version is in force at every instance, and no other."""
+    context.loop.run_until_complete(
+        until(
+            lambda: all(
+                (service, version) in versions_of(application.instance).items()
+                for application in context.world.applications.values()
+            )
+        )
+    )
+
+
+@when('only "{name}" can reach the configuration service')
+def cut_off(context: Context, name: str) -> None:
+    """Cut every other instance off from the configuration service."""
+    nowhere = Endpoint(ADDRESS, free_ports(1)[0])
+    for other, application in context.world.applications.items():
+        if other != name:
+            instance = application.instance
+            instance.settings = instance.settings._replace(
+                configuration=nowhere
+            )
+    context.moment = context.loop.time()
+
+
+@then('"{name}" gets a confirmation that is newer than this moment')
+def expect_confirmation(context: Context, name: str) -> None:
+    """Expect that a peer's word confirms the configuration."""
+    instance = context.world.applications[name].instance
+    # A watch that was under way at the cut may end once more.
+    moment = context.moment + instance.settings.timing.watch_wait_seconds + 1
+    context.loop.run_until_complete(
+        until(lambda: instance.freshness.confirmed_seconds > moment)
+    )
+
+
+@then('every instance logs that it was refused as "{outcome}"')
+def expect_refused(context: Context, outcome: str) -> None:
+    """Expect the outcome in the log, once an instance."""
+    count = len(context.world.applications)
+
+    def logged() -> int:
+        lines = context.log.getvalue()[context.marks['log'] :].splitlines()
+        events = [msgspec.json.decode(line) for line in lines]
+        return sum(
+            event['message_type'] == 'CT201' and event['outcome'] == outcome
+            for event in events
+        )
+
+    context.loop.run_until_complete(until(lambda: logged() >= count))
+
+
+def _script(context: Context, names: str, **fields: Any) -> None:
+    for name in names.split():
+        standin = context.world.targets[name]
+        standin.script = standin.script._replace(**fields)
+
+
+def _script_all(context: Context, **fields: Any) -> None:
+    _script(context, ' '.join(context.world.targets), **fields)
+
+
+def _target_entry(context: Context, name: str) -> dict[str, Any]:
+    targets: dict[str, dict[str, Any]] = {}
+    for document in context.world.documents.values():
+        targets.update(document['targets'])
+    return targets[name]
+
+
+def _publish(context: Context, service: str, **fields: Any) -> None:
+    raw = {**context.world.documents[service], **fields}
+    assert len(msgspec.json.encode(raw)) < MAX_DOCUMENT_BYTES
+    context.world.publish(raw)
+
+
+def _versions(application: Any) -> set[tuple[str, int]]:
+    return set(versions_of(application.instance).items())
+
+
+def _statuses(application: Any) -> set[str]:
+    members = application.instance.membership.members.values()
+    return {str(member.status) for member in members}
--- a/tests/support/decided.py
+++ b/tests/support/decided.py
@@ -48,7 +48,7 @@
         plan = plan_query(
             self.service.document, ask, snapshot, self.now_seconds
         )
-        self.state = query.QueryState(plan)
+        self.state = course.QueryState(plan)
         self.apply(query.begin(self.state, self.context()))
 
     def context(self) -> course.Context:
--- a/tests/support/documents.py
+++ b/tests/support/documents.py
@@ -28,7 +28,7 @@
     bounds = [
         HASH_SLOTS * number // shard_count for number in range(shard_count + 1)
     ]
-    shards = {
+    shards: dict[str, dict[str, Any]] = {
         f's{number:02}': {
             'first_hash': bounds[number],
             'last_hash': bounds[number + 1] - 1,
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from celeryturn.app import Application
-from celeryturn.http.client import fetch
+from celeryturn.http.client import Connection, connect, fetch
 from celeryturn.http.messages import HttpReply, HttpRequest
 from celeryturn.settings import Settings, parse_settings
 from examples.fleet import free_ports
@@ -130,7 +130,7 @@
                     'watch_wait_seconds': 0.3,
                     'list_every_seconds': 0.2,
                     'gossip_every_seconds': 0.1,
-                    'first_peer_wait_seconds': 0.5,
+                    'first_peer_wait_seconds': 0.1,
                     'advice_keep_seconds': 0.3,
                     **timing,
                 },
@@ -143,6 +143,11 @@
         application = self.applications[name or next(iter(self.applications))]
         return ADDRESS, application.server.port
 
+    async def connect(self) -> Connection:
+        """Open a caller's connection to the first instance."""
+        address, port = self.place()
+        return await connect(address, port, WAIT_SECONDS)
+
     async def ask(
         self, method: str, url: str, body: object = None, name: str = ''
     ) -> HttpReply:
