Real processes under signals, and a command line that never shows a traceback

Cause: signals, pauses and exit codes were not tried on real processes. Conclusion: held as built; check named a wrong kind for files it cannot read, which is mended.

--- a/celeryturn/cli.py
+++ b/celeryturn/cli.py
@@ -4,19 +4,17 @@
 import sys
 import uuid
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any, Final
 from urllib.parse import urlencode
 
 import fire
 import msgspec
-import yaml
 
 from celeryturn import tables
 from celeryturn.client import ask
 from celeryturn.decisions.document import parse_document
-from celeryturn.errors import CeleryturnError, Kind
-from celeryturn.settings import parse_settings
+from celeryturn.errors import CeleryturnError
+from celeryturn.settings import parse_settings, read_yaml
 
 DEFAULT_AT: Final = '127.0.0.1:7101'
 DEFAULT_DEADLINE_SECONDS: Final = 2.0
@@ -30,7 +28,7 @@
 
     :param path: A YAML or JSON file.
     """
-    raw = _read_file(path)
+    raw = read_yaml(path)
     if isinstance(raw, dict) and 'service' in raw:
         published = parse_document(msgspec.json.encode(raw))
         document = published.document
@@ -280,14 +278,5 @@
     return msgspec.json.format(encoded, indent=2).decode()
 
 
-def _read_file(path: str) -> object:
-    try:
-        return yaml.safe_load(Path(path).read_text(encoding='utf-8'))
-    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
-        raise CeleryturnError(
-            Kind.BAD_REQUEST, f'{path}: cannot be read: {error}'
-        ) from error
-
-
 if __name__ == '__main__':
     main()
--- a/celeryturn/settings.py
+++ b/celeryturn/settings.py
@@ -75,7 +75,7 @@
     :returns: Its settings.
     :raises CeleryturnError: ``invalid_settings`` with every fault.
     """
-    return parse_settings(_read_yaml(path), path)
+    return parse_settings(read_yaml(path), path)
 
 
 def parse_settings(raw: object, source: str) -> Settings:
@@ -95,7 +95,13 @@
     return decoded.shape
 
 
-def _read_yaml(path: str) -> object:
+def read_yaml(path: str) -> object:
+    """Read a YAML file, of which JSON is a part.
+
+    :param path: The file.
+    :returns: Mappings, lists and scalars.
+    :raises CeleryturnError: ``invalid_settings`` when it cannot be read.
+    """
     try:
         return yaml.safe_load(Path(path).read_text(encoding='utf-8'))
     except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
--- a/examples/fleet.py
+++ b/examples/fleet.py
@@ -19,6 +19,7 @@
 ADDRESS: Final = '127.0.0.1'
 INSTANCES_PER_ZONE: Final = 3
 SPARE_PORTS: Final = 150
+ADVICE_KEEP_SECONDS: Final = 1.0
 READY_SECONDS: Final = 30.0
 STOP_SECONDS: Final = 20.0
 POLL_SECONDS: Final = 0.05
@@ -35,26 +36,32 @@
     """Processes of one user's fleet.
 
     :param folder: Settings, documents and logs.
+    :param advice_keep_seconds: Longest time callers keep an address.
     :param places: Instances by name, each ``ADDRESS:PORT``.
     :param instances: Processes of the instances, by name.
     :param standins: Processes of the stand-ins.
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, advice_keep_seconds: float) -> None:
         self.folder = folder
+        self.advice_keep_seconds = advice_keep_seconds
         self.places: dict[str, str] = {}
         self.instances: dict[str, subprocess.Popen[bytes]] = {}
         self.standins: list[subprocess.Popen[bytes]] = []
 
 
-def start_fleet(user_name: str) -> Fleet:
+def start_fleet(
+    user_name: str, advice_keep_seconds: float = ADVICE_KEEP_SECONDS
+) -> Fleet:
     """Start stand-ins and nine instances.
 
     :param user_name: Name of the user whose shape it has.
+    :param advice_keep_seconds: Longest time callers keep an address.
     :returns: The fleet; its instances may not be ready yet.
     """
     user = USERS[user_name]
-    fleet = Fleet(Path(tempfile.mkdtemp(prefix='celeryturn-')))
+    folder = Path(tempfile.mkdtemp(prefix='celeryturn-'))
+    fleet = Fleet(folder, advice_keep_seconds)
     spare = iter(free_ports(SPARE_PORTS))
     ports = _instance_ports(user, spare)
     platform_port = next(spare)
@@ -153,6 +160,8 @@
 ) -> None:
     for name, name_ports in ports.items():
         settings = _settings(user, name, name_ports, platform_port)
+        keep_seconds = fleet.advice_keep_seconds
+        settings['timing'] = {'advice_keep_seconds': keep_seconds}
         _start_instance(fleet, name, settings)
 
 
@@ -206,7 +215,6 @@
         'peers': {'address': ADDRESS, 'port': ports.peers},
         'configuration': dict(platform),
         'instances': dict(platform),
-        'timing': {'advice_keep_seconds': 1.0},
     }
 
 
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -3,12 +3,15 @@
 import asyncio
 import io
 
-from behave.model import Scenario
+from behave.model import Feature, Scenario
 from behave.runner import Context
 
 from celeryturn.events import log_to
+from examples.fleet import start_fleet, stop_fleet, wait_ready
 from tests.support.world import World
 
+ADVICE_KEEP_SECONDS = 2.0
+
 
 def before_all(context: Context) -> None:
     """Keep log events off the terminal, but run their code."""
@@ -16,6 +19,20 @@
     log_to(context.log)
 
 
+def before_feature(context: Context, feature: Feature) -> None:
+    """Start real processes for the features that ask for them."""
+    if 'fleet' in feature.tags:
+        context.fleet = start_fleet('consorcio', ADVICE_KEEP_SECONDS)
+        context.advice_keep_seconds = ADVICE_KEEP_SECONDS
+        wait_ready(context.fleet)
+
+
+def after_feature(context: Context, feature: Feature) -> None:
+    """End the processes."""
+    if 'fleet' in feature.tags:
+        stop_fleet(context.fleet)
+
+
 def before_scenario(context: Context, scenario: Scenario) -> None:
     """Give the scenario a loop and a world of its own."""
     context.log.truncate(0)
