--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/flake8 .
 	$(BIN)/mypy
+	$(BIN)/python -m tools.purity
 
 check-tests: $(STAMP)
 	$(BIN)/python -m tests.run
--- a/celeryturn/decisions/booking.py
+++ b/celeryturn/decisions/booking.py
@@ -44,11 +44,11 @@
 class Sending(NamedTuple):
     """How far the sending of a booking came.
 
-    :param written: Whether any byte may have left.
+    :param is_written: Whether any byte may have left.
     :param said_not_run: Whether the target itself said it was not run.
     """
 
-    written: bool
+    is_written: bool
     said_not_run: bool
 
 
@@ -103,6 +103,6 @@
     :param sending: How far the sending came.
     :returns: A kind that says *not run* only where that is certain.
     """
-    if sending.said_not_run or not sending.written:
+    if sending.said_not_run or not sending.is_written:
         return Kind.TARGET_UNAVAILABLE
     return Kind.OUTCOME_UNKNOWN
--- /dev/null
+++ b/tests/steps/checks.py
@@ -0,0 +1,69 @@
+"""Steps on the project's own checks."""
+
+import tempfile
+from pathlib import Path
+
+from behave import then, when
+from behave.runner import Context
+
+from celeryturn.errors import ANSWERS, Kind
+from celeryturn.events import all_events
+from tools import catalogue, purity
+
+
+@then('docs/ERRORS.md and docs/EVENTS.md are up to date')
+def expect_current(context: Context) -> None:
+    """Expect that the pages are what the code says."""
+    assert not catalogue.outdated(), catalogue.outdated()
+
+
+@when("a page's table lacks a line")
+def drop_line(context: Context) -> None:
+    """Drop a line of a page."""
+    text = catalogue.EVENTS.read_text(encoding='utf-8')
+    line = next(line for line in text.splitlines() if 'CT100' in line)
+    context.page = text.replace(f'{line}\n', '')
+
+
+@then('the page is not what the code says')
+def expect_outdated(context: Context) -> None:
+    """Expect that the difference is noticed."""
+    table = catalogue.events_table()
+    assert catalogue.with_table(context.page, table) != context.page
+
+
+@then('each kind of error has an answer with a code of its own')
+def expect_codes(context: Context) -> None:
+    """Expect one row a kind."""
+    assert set(ANSWERS) == set(Kind)
+    codes = [answer.code for answer in ANSWERS.values()]
+    assert len(set(codes)) == len(codes), codes
+
+
+@then('each event has a number of its own')
+def expect_numbers(context: Context) -> None:
+    """Expect distinct numbers."""
+    numbers = [event.number for event in all_events()]
+    assert len(set(numbers)) == len(numbers), numbers
+
+
+@then('the decisions pass the import check')
+def expect_pure(context: Context) -> None:
+    """Expect no fault."""
+    found = list(purity.faults(Path('celeryturn/decisions')))
+    assert not found, found
+
+
+@when('a decision has the line "{line}"')
+def write_decision(context: Context, line: str) -> None:
+    """Write a module with an import."""
+    context.folder = tempfile.mkdtemp()
+    path = Path(context.folder) / 'decision.py'
+    path.write_text(f'{line}\n', encoding='utf-8')
+
+
+@then('the import check names it')
+def expect_impure(context: Context) -> None:
+    """Expect one fault."""
+    found = list(purity.faults(Path(context.folder)))
+    assert len(found) == 1, found
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the project itself: checks and generated pages."""
--- /dev/null
+++ b/tools/purity.py
@@ -0,0 +1,69 @@
+"""Check that the decisions import no loop, socket, clock, log or chance."""
+
+import ast
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Final
+
+FORBIDDEN: Final = frozenset(
+    (
+        'asyncio',
+        'socket',
+        'time',
+        'random',
+        'logging',
+        'os',
+        'datetime',
+        'eliot',
+        'h11',
+        'websockets',
+        'aioprometheus',
+    )
+)
+ALLOWED_OWN: Final = frozenset(('decisions', 'errors', 'schema', 'units'))
+PACKAGE: Final = 'celeryturn'
+
+
+def faults(folder: Path) -> Iterator[str]:
+    """Find imports that a decision must not have.
+
+    :param folder: The folder of the decisions.
+    :returns: A line for each, with its place.
+    """
+    for path in sorted(folder.glob('**/*.py')):
+        for node in ast.walk(ast.parse(path.read_text(encoding='utf-8'))):
+            for name in _imported(node):
+                if not _is_allowed(name):
+                    yield f'{path}:{_line(node)}: must not import {name}'
+
+
+def _imported(node: ast.AST) -> list[str]:
+    if isinstance(node, ast.Import):
+        return [alias.name for alias in node.names]
+    if isinstance(node, ast.ImportFrom) and node.module:
+        return [node.module]
+    return []
+
+
+def _is_allowed(name: str) -> bool:
+    parts = name.split('.')
+    if parts[0] == PACKAGE and len(parts) > 1:
+        return parts[1] in ALLOWED_OWN
+    return parts[0] not in FORBIDDEN
+
+
+def _line(node: ast.AST) -> int:
+    return getattr(node, 'lineno', 0)
+
+
+def main() -> None:
+    """Check the package's own decisions."""
+    found = list(faults(Path(PACKAGE) / 'decisions'))
+    for fault in found:
+        sys.stderr.write(f'{fault}\n')
+    sys.exit(1 if found else 0)
+
+
+if __name__ == '__main__':
+    main()
