A repartition moves booking homes by hash range; a repeated id says what is known

A repartition that renamed shards escaped the epoch rule, and a booking in hand was checked by the name of its shard, which may mean other keys by then. A repeated booking id was refused as not run though its booking had run. A scenario also raced: a target that keeps the deadline may say not run just before the instance says unknown. Stand-ins can stay silent, so that the race is gone. Conclusion: not run now means it for the id, not only for the request.

--- a/celeryturn/commands/book.py
+++ b/celeryturn/commands/book.py
@@ -139,7 +139,7 @@
     earlier = bookings.earlier_outcome(instance.bookings, ask.booking_id)
     if earlier is not None:
         raise CeleryturnError(
-            Kind.DUPLICATE_BOOKING,
+            bookings.duplicate_kind(earlier),
             f'booking id {ask.booking_id!r} was sent before: {earlier}',
         )
 
@@ -157,6 +157,7 @@
     plan = booking.BookingPlan(
         booking_id=ask.booking_id,
         service=ask.service,
+        key=ask.key,
         shard=shard,
         target=home.target,
         epoch=home.epoch,
@@ -225,7 +226,6 @@
     _require_writable(sender.instance, service, sender.plan)
     return wire.book_request(
         sender.plan,
-        sender.ask.key,
         sender.ask.places_count,
         sender.instance.clock(),
     )
--- a/celeryturn/decisions/adoption.py
+++ b/celeryturn/decisions/adoption.py
@@ -1,10 +1,16 @@
 """Which published documents an instance puts in force: versions only rise."""
 
 import enum
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 from typing import NamedTuple
 
-from celeryturn.decisions.document import Home, Published
+from celeryturn.decisions.document import (
+    Home,
+    Published,
+    ServiceDocument,
+    Shard,
+    serving_index,
+)
 from celeryturn.errors import Fault
 
 
@@ -48,25 +54,37 @@
         same = candidate.digest == in_force.digest
         outcome = Outcome.SAME if same else Outcome.CONFLICT
         return Adoption(outcome, in_force)
-    faults = tuple(
-        _epoch_faults(in_force.document.homes, candidate.document.homes)
-    )
+    faults = tuple(_epoch_faults(in_force.document, candidate.document))
     if faults:
         return Adoption(Outcome.INVALID, in_force, faults)
     return Adoption(Outcome.ADOPTED, candidate)
 
 
 def _epoch_faults(
-    held: Mapping[str, Home], offered: Mapping[str, Home]
+    held: ServiceDocument, offered: ServiceDocument
 ) -> Iterator[Fault]:
-    for shard in held.keys() & offered.keys():
-        yield from _home_faults(shard, held[shard], offered[shard])
-
-
-def _home_faults(shard: str, held: Home, offered: Home) -> Iterator[Fault]:
-    path = f'homes.{shard}.epoch'
-    if offered.epoch < held.epoch:
-        yield Fault(path, f'at least {held.epoch}, which is in force')
-    moved = offered.target != held.target
-    if moved and offered.epoch == held.epoch:
-        yield Fault(path, f'above {held.epoch}, since the home moves')
+    # By ranges of the hash, not by names of shards: a repartition moves the
+    # homes of keys too.
+    for shard, first, second in _overlaps(held, offered):
+        path = f'homes.{shard}.epoch'
+        if second.epoch < first.epoch:
+            yield Fault(path, f'at least {first.epoch}, which is in force')
+        moved = second.target != first.target
+        if moved and second.epoch == first.epoch:
+            yield Fault(path, f'above {first.epoch}, since the home moves')
+
+
+def _overlaps(
+    held: ServiceDocument, offered: ServiceDocument
+) -> Iterator[tuple[str, Home, Home]]:
+    for _, before, first in _homes(held):
+        for shard, after, second in _homes(offered):
+            starts = max(before.first_hash, after.first_hash)
+            if starts <= min(before.last_hash, after.last_hash):
+                yield shard, first, second
+
+
+def _homes(document: ServiceDocument) -> Iterator[tuple[str, Shard, Home]]:
+    shards = serving_index(document).shards
+    for name in shards.keys() & document.homes.keys():
+        yield name, shards[name], document.homes[name]
--- a/celeryturn/decisions/booking.py
+++ b/celeryturn/decisions/booking.py
@@ -2,7 +2,12 @@
 
 from typing import Final, NamedTuple
 
-from celeryturn.decisions.document import Home, ServiceDocument
+from celeryturn.decisions.document import (
+    Home,
+    ServiceDocument,
+    serving_index,
+    shard_of,
+)
 from celeryturn.errors import Kind
 
 CLOCK_MARGIN_SECONDS: Final = 1.0
@@ -13,7 +18,8 @@
 
     :param booking_id: The caller's identifier.
     :param service: Name of the service.
-    :param shard: Shard of the record.
+    :param key: Key of the record.
+    :param shard: Shard of the record at admission.
     :param target: The home that was believed at admission.
     :param epoch: The home's epoch at admission.
     :param deadline_seconds: Time after which it must not be written.
@@ -21,6 +27,7 @@
 
     booking_id: str
     service: str
+    key: str
     shard: str
     target: str
     epoch: int
@@ -78,7 +85,9 @@
     """
     if now_seconds >= plan.deadline_seconds:
         return Kind.DEADLINE_PASSED
-    home = belief.document.homes.get(plan.shard)
+    # The key's shard is looked up anew: a repartition may have moved it.
+    shard = shard_of(serving_index(belief.document), plan.key)
+    home = belief.document.homes.get(shard)
     if home is None:
         return Kind.NO_HOME
     age_seconds = now_seconds - belief.confirmed_seconds
--- a/celeryturn/decisions/bookings.py
+++ b/celeryturn/decisions/bookings.py
@@ -3,6 +3,8 @@
 from collections import OrderedDict
 from typing import Final
 
+from celeryturn.errors import Kind
+
 MOST_BOOKINGS: Final = 10_000
 IN_FLIGHT: Final = 'in_flight'
 
@@ -29,6 +31,17 @@
     return table.outcomes.get(booking_id)
 
 
+def duplicate_kind(outcome: str) -> Kind:
+    """Name the refusal of an id that was sent before.
+
+    :param outcome: What became of it.
+    :returns: A kind that says of the id what is known: run, or unknown.
+    """
+    if outcome in {IN_FLIGHT, str(Kind.OUTCOME_UNKNOWN)}:
+        return Kind.BOOKING_UNSETTLED
+    return Kind.DUPLICATE_BOOKING
+
+
 def begin(table: BookingTable, booking_id: str) -> None:
     """Note that a booking is being sent.
 
--- a/celeryturn/errors.py
+++ b/celeryturn/errors.py
@@ -36,6 +36,7 @@
     STALE_CONFIGURATION = 'stale_configuration'
     TARGET_UNAVAILABLE = 'target_unavailable'
     DUPLICATE_BOOKING = 'duplicate_booking'
+    BOOKING_UNSETTLED = 'booking_unsettled'
     BOOKING_REFUSED = 'booking_refused'
     OUTCOME_UNKNOWN = 'outcome_unknown'
     NOT_FOUND = 'not_found'
@@ -125,10 +126,13 @@
         Kind.DUPLICATE_BOOKING: Answer(
             'CT-305',
             409,
-            _NOT_RUN,
+            Run.RUN,
             5,
             0,
-            'Read the earlier outcome; do not retry.',
+            'Take the earlier outcome; do not retry.',
+        ),
+        Kind.BOOKING_UNSETTLED: Answer(
+            'CT-310', 409, Run.UNKNOWN, 6, 1, 'Read the record before retrying.'
         ),
         Kind.BOOKING_REFUSED: Answer(
             'CT-306',
--- a/celeryturn/targets/wire.py
+++ b/celeryturn/targets/wire.py
@@ -109,12 +109,11 @@
 
 
 def book_request(
-    plan: BookingPlan, key: str, places_count: int, now_seconds: float
+    plan: BookingPlan, places_count: int, now_seconds: float
 ) -> HttpRequest:
     """Build the request of a booking.
 
     :param plan: Where it is to be written.
-    :param key: Key of the record.
     :param places_count: How many places are booked.
     :param now_seconds: A clock reading taken just now.
     :returns: The request, with what is left of the deadline.
@@ -126,7 +125,7 @@
             'service': plan.service,
             'shard': plan.shard,
             'epoch': plan.epoch,
-            'key': key,
+            'key': plan.key,
             'places_count': places_count,
         }
     )
--- a/standins/target.py
+++ b/standins/target.py
@@ -35,6 +35,7 @@
     :param slow_factor: Multiplies it: a straggler.
     :param shed_share: Share of requests that are shed.
     :param is_lost: Whether connections are dropped at once.
+    :param is_silent: Whether requests are taken in and never answered.
     :param is_draining: Whether it is leaving.
     :param is_cold: Whether it is still slow from its start.
     :param loses_booking_replies: Whether bookings run and stay unanswered.
@@ -46,6 +47,7 @@
     slow_factor: float = 1.0
     shed_share: float = 0.0
     is_lost: bool = False
+    is_silent: bool = False
     is_draining: bool = False
     is_cold: bool = False
     loses_booking_replies: bool = False
@@ -125,6 +127,8 @@
             return json_reply(OK, {})
         if path == '/bookings':
             return json_reply(OK, self.dataset.bookings)
+        if self.script.is_silent:
+            await asyncio.Event().wait()
         refusal = self._refuse()
         if refusal is not None:
             return refusal
--- a/tests/decisions/booking.feature
+++ b/tests/decisions/booking.feature
@@ -20,6 +20,7 @@
       | the home moved away and back by epoch 5        | home_held           |
       | the home's target is leaving                   | target_unavailable  |
       | the shard has no home any more                 | no_home             |
+      | a repartition gave the key another home        | home_held           |
 
   Scenario: A confirmation just inside the bound
     When the configuration was confirmed 12 seconds ago
--- a/tests/peers/fleet.feature
+++ b/tests/peers/fleet.feature
@@ -39,6 +39,7 @@
       | a gap in a map    | invalid  |
       | no JSON           | invalid  |
       | a reused epoch    | invalid  |
+      | a repartition that moves homes at the same epoch | invalid |
 
   Scenario: An instance that dies is given up and not advised
     Given 4 instances that are ready
--- a/tests/steps/system.py
+++ b/tests/steps/system.py
@@ -78,6 +78,12 @@
     _script_all(context, latency_seconds=seconds)
 
 
+@given('every target stays silent')
+def silence_all(context: Context) -> None:
+    """Let targets take requests in and never answer."""
+    _script_all(context, is_silent=True)
+
+
 @given('every target loses the replies to bookings')
 def lose_replies(context: Context) -> None:
     """Let bookings run and stay unanswered."""
@@ -184,12 +190,17 @@
     first = world.documents[service]['indexes'][0]
     second = {**first, 'version': number, 'shards': bounds}
     world.datasets[service].records[number] = {name: [] for name in bounds}
+    homes = {
+        name: {'target': shard['replicas'][0], 'epoch': 2}
+        for name, shard in bounds.items()
+    }
     _publish(
         context,
         service,
         version=2,
         serving_index=number,
         indexes=[first, second],
+        homes=homes,
     )
 
 
@@ -263,6 +274,12 @@
             'indexes': [{**good['indexes'][0], 'shards': gap}],
         },
         'a reused epoch': {'version': 9, 'homes': moved},
+        'a repartition that moves homes at the same epoch': {
+            'version': 9,
+            'serving_index': 2,
+            'indexes': [good['indexes'][0], _renamed(good['indexes'][0])],
+            'homes': {f'new-{shard}': home for shard, home in moved.items()},
+        },
     }
     body = msgspec.json.encode({**good, **changes[fault]})
     world.platform.publish(f'services/{service}', body)
@@ -345,6 +362,11 @@
     context.world.publish(raw)
 
 
+def _renamed(index: dict[str, Any]) -> dict[str, Any]:
+    shards = {f'new-{name}': shard for name, shard in index['shards'].items()}
+    return {**index, 'version': 2, 'shards': shards}
+
+
 def _versions(application: Any) -> set[tuple[str, int]]:
     return set(versions_of(application.instance).items())
 
