--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: run run-redda test lint check-tests clean
+.PHONY: run run-redda test lint check-tests slopes clean
 
 run: $(STAMP)
 	$(BIN)/python -m examples.run --user consorcio
@@ -27,5 +27,8 @@
 	$(BIN)/pip install --quiet --disable-pip-version-check --editable '.[dev]'
 	touch $@
 
+slopes: $(STAMP)
+	$(BIN)/python -m bench.slopes
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the project's own code."""
--- /dev/null
+++ b/bench/fit.py
@@ -0,0 +1,97 @@
+"""Fit a line through a cost measured at several sizes."""
+
+import gc
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+from typing import Final, NamedTuple, TypeAlias
+
+Work: TypeAlias = Callable[[], object]
+MakeWork: TypeAlias = Callable[[int], Work]
+
+REPEATS: Final = 7
+LEAST_SECONDS: Final = 0.02
+
+
+class Slope(NamedTuple):
+    """A fitted cost.
+
+    :param per_unit: Cost of one more unit, the median over repeats.
+    :param least: Smallest fitted slope.
+    :param most: Largest fitted slope.
+    :param fixed: Cost at size zero, the median over repeats.
+    """
+
+    per_unit: float
+    least: float
+    most: float
+    fixed: float
+
+
+def fit_seconds(make_work: MakeWork, sizes: Sequence[int]) -> Slope:
+    """Measure processor time at several sizes and fit a line.
+
+    :param make_work: Builds the work of a size.
+    :param sizes: Sizes, at least two.
+    :returns: Processor seconds a unit.
+    """
+    works = [(size, make_work(size)) for size in sizes]
+    return _fit(
+        [
+            [(size, _seconds(work)) for size, work in works]
+            for _ in range(REPEATS)
+        ]
+    )
+
+
+def fit_bytes(
+    make_state: Callable[[int], object], sizes: Sequence[int]
+) -> Slope:
+    """Measure allocated memory at several sizes and fit a line.
+
+    :param make_state: Builds state of a size.
+    :param sizes: Sizes, at least two.
+    :returns: Bytes a unit.
+    """
+    return _fit(
+        [[(size, _bytes(make_state, size)) for size in sizes] for _ in range(2)]
+    )
+
+
+def _fit(rounds: list[list[tuple[int, float]]]) -> Slope:
+    lines = [
+        statistics.linear_regression(*zip(*points, strict=True))
+        for points in rounds
+    ]
+    slopes = [line.slope for line in lines]
+    return Slope(
+        statistics.median(slopes),
+        min(slopes),
+        max(slopes),
+        statistics.median(line.intercept for line in lines),
+    )
+
+
+def _seconds(work: Work) -> float:
+    gc.collect()
+    count = 0
+    started = time.process_time()
+    spent = 0.0
+    while spent < LEAST_SECONDS:
+        work()
+        count += 1
+        spent = time.process_time() - started
+    return spent / count
+
+
+def _bytes(make_state: Callable[[int], object], size: int) -> float:
+    gc.collect()
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    state = make_state(size)
+    gc.collect()
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    grown_bytes = after - before
+    return grown_bytes if state else 0
--- a/celeryturn/decisions/membership.py
+++ b/celeryturn/decisions/membership.py
@@ -17,6 +17,7 @@
 FORGET_AFTER_SECONDS: Final = 600.0
 PEAK_SECONDS: Final = 600.0
 MOST_MEMBERS: Final = 2048
+SMALL_FLEET_COUNT: Final = 40
 
 
 class Status(enum.StrEnum):
@@ -234,6 +235,19 @@
     return [gone[int(random_share * len(gone)) % len(gone)]]
 
 
+def list_wait_seconds(every_seconds: float, member_count: int) -> float:
+    """Work out how long to wait before the list is read again.
+
+    The list grows with the fleet and so does each reading of it; peers tell
+    of changes sooner, so that a large fleet reads it less often.
+
+    :param every_seconds: The wait in a small fleet.
+    :param member_count: How many instances are known.
+    :returns: The wait, before it is spread.
+    """
+    return every_seconds * max(1, member_count / SMALL_FLEET_COUNT)
+
+
 def live_count(membership: Membership) -> int:
     """Count instances for sharing limits, cautiously.
 
--- a/celeryturn/peers/network.py
+++ b/celeryturn/peers/network.py
@@ -34,13 +34,15 @@
 
     :param socket: The websocket.
     :param instance: Name of the peer, once it has said hello.
+    :param is_dialled: Whether this instance opened it, and so asks on it.
     :param queue: Messages to be sent, oldest first.
     """
 
-    __slots__ = ('instance', 'queue', 'socket')
+    __slots__ = ('instance', 'is_dialled', 'queue', 'socket')
 
     def __init__(self, socket: Socket, instance: str = '') -> None:
         self.socket = socket
+        self.is_dialled = bool(instance)
         self.instance = instance
         self.queue: asyncio.Queue[messages.Message] = asyncio.Queue(MOST_QUEUED)
 
@@ -104,7 +106,7 @@
     every_seconds = instance.settings.timing.gossip_every_seconds
     while not instance.is_closing:
         dial_neighbours(network)
-        broadcast(network, messages.Ping(instance.clock()))
+        _ask_neighbours(network)
         for name in behind(network):
             broadcast(network, messages.Want(name))
         changed = membership.tick(
@@ -226,6 +228,14 @@
     network.watched = wanted
 
 
+def _ask_neighbours(network: Network) -> None:
+    # Only the side that dialled asks: the other one hears it ask.
+    ping = messages.Ping(network.instance.clock())
+    for link in network.links:
+        if link.is_dialled:
+            put(link, ping)
+
+
 async def _dial(network: Network, name: str) -> None:
     try:
         await _dial_once(network, name)
--- a/celeryturn/platform/watcher.py
+++ b/celeryturn/platform/watcher.py
@@ -59,12 +59,14 @@
     :param instance: The instance.
     """
     every_seconds = instance.settings.timing.list_every_seconds
+    members = instance.membership.members
     while not instance.is_closing:
         try:
             await read_list(instance)
         except OSError as error:
             log(LIST_LOST, detail=str(error))
-        await asyncio.sleep(every_seconds * (1 + instance.random()) / 2)
+        wait_seconds = membership.list_wait_seconds(every_seconds, len(members))
+        await asyncio.sleep(wait_seconds * (1 + instance.random()) / 2)
 
 
 async def read_list(instance: Instance) -> None:
--- a/celeryturn/queries/dump.py
+++ b/celeryturn/queries/dump.py
@@ -74,7 +74,7 @@
         configuration_age_seconds=configuration_age_seconds(instance),
         highest_revision=instance.freshness.highest_revision,
         services={
-            name: _service(service)
+            name: dump_service(service)
             for name, service in sorted(instance.services.items())
         },
         members=dict(sorted(instance.membership.members.items())),
@@ -93,7 +93,12 @@
     return None if age_seconds == float('inf') else age_seconds
 
 
-def _service(service: ServiceState) -> ServiceDump:
+def dump_service(service: ServiceState) -> ServiceDump:
+    """Dump what is held of one service.
+
+    :param service: Its state.
+    :returns: What is held, with every target.
+    """
     return ServiceDump(
         configuration_version=service.document.version,
         serving_index=service.document.serving_index,
--- a/tests/decisions/membership.feature
+++ b/tests/decisions/membership.feature
@@ -43,6 +43,10 @@
     When 700 seconds pass in which only "b" is heard
     Then limits are shared by 2 instances
 
+  Scenario: A large fleet reads the list less often, so that it costs no more
+    Then the list is read every 5 seconds by 9 instances
+    And the list is read every 60 seconds by 480 instances
+
   Scenario: The gone are forgotten in the end
     When "a" is told to be gone
     And 700 seconds pass in which only "b" is heard
--- a/tests/steps/decisions.py
+++ b/tests/steps/decisions.py
@@ -231,6 +231,12 @@
     assert membership.live_count(context.members) == count
 
 
+@then('the list is read every {seconds:d} seconds by {count:d} instances')
+def expect_list_wait(context: Context, seconds: int, count: int) -> None:
+    """Expect a wait for a size of fleet."""
+    assert membership.list_wait_seconds(5, count) == seconds
+
+
 @then('at most {most:d} entries are held, "{name}" among them')
 def expect_bound(context: Context, most: int, name: str) -> None:
     """Expect the bound of the table."""
--- a/tests/steps/system.py
+++ b/tests/steps/system.py
@@ -185,8 +185,8 @@
     world = context.world
     replicas = list(world.documents[service]['targets'])
     bounds = raw_document(service, shards, 1)['indexes'][0]['shards']
-    for place, shard in enumerate(bounds.values()):
-        shard['replicas'] = [replicas[place % len(replicas)]]
+    for place, part in enumerate(bounds.values()):
+        part['replicas'] = [replicas[place % len(replicas)]]
     first = world.documents[service]['indexes'][0]
     second = {**first, 'version': number, 'shards': bounds}
     world.datasets[service].records[number] = {name: [] for name in bounds}
