--- a/examples/run.py
+++ b/examples/run.py
@@ -1,5 +1,6 @@
 """The main job: a fleet, one request of each kind, a graceful end."""
 
+import shlex
 import subprocess  # noqa: S404
 import sys
 import time
@@ -46,7 +47,7 @@
 
 
 def _command(words: tuple[str, ...], place: str) -> bool:
-    _say(f'\n$ celeryturn {" ".join(words)} --at {place}')
+    _say(f'\n$ celeryturn {shlex.join(words)} --at {place}')
     sys.stdout.flush()
     ended = subprocess.run(  # noqa: S603
         (sys.executable, '-m', 'celeryturn.cli', *words, '--at', place),
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -28,6 +28,7 @@
     :param instances: Entries of the list.
     :param is_down: Whether every call fails.
     :param stale: What readers are shown in place of the present, if set.
+    :param delay_seconds: How long every call takes: a slow service.
     :param call_count: Calls so far.
     """
 
@@ -37,6 +38,7 @@
         self.instances: list[dict[str, Any]] = []
         self.is_down = False
         self.stale: tuple[dict[str, tuple[bytes, int]], int] | None = None
+        self.delay_seconds = 0.0
         self.call_count = 0
         self.server = HttpServer(
             self.answer_request,
@@ -72,6 +74,7 @@
         path, query = split_url(request.url)
         if path == '/control' and request.method == 'POST':
             return self._control(request)
+        await asyncio.sleep(self.delay_seconds)
         if self.is_down:
             return json_reply(UNAVAILABLE, {})
         if path == '/v1/instances':
--- a/tests/peers/fleet.feature
+++ b/tests/peers/fleet.feature
@@ -9,6 +9,17 @@
     When operators publish version 2 of "reservas"
     Then the instances serve version 2 of "reservas"
 
+  Scenario: A slow configuration service delays a change and loses none
+    Given 3 instances that are ready
+    And the configuration service takes 0.5 seconds
+    When operators publish version 2 of "reservas"
+    Then the instances serve version 2 of "reservas"
+
+  Scenario: A list of instances that lags is made up for by the instances
+    Given 2 instances that are ready
+    When "entry-9" starts, which the list does not name
+    Then every instance is believed alive again
+
   Scenario: Peers carry a configuration that the service cannot give
     Given 3 instances that are ready
     And the configuration service is down
--- a/tests/steps/system.py
+++ b/tests/steps/system.py
@@ -55,6 +55,21 @@
     context.world.platform.is_down = True
 
 
+@given('the configuration service takes {seconds:g} seconds')
+def slow_service(context: Context, seconds: float) -> None:
+    """Let every call to the platform take its time."""
+    context.world.platform.delay_seconds = seconds
+
+
+@when('"{name}" starts, which the list does not name')
+def start_unlisted(context: Context, name: str) -> None:
+    """Start an instance that knows the others by the list."""
+    world = context.world
+    ports = free_ports(2)
+    settings = world.settings(name, *ports, {})
+    context.loop.run_until_complete(world.start(settings))
+
+
 @given('the configuration service shows the present for ever')
 def freeze(context: Context) -> None:
     """Let the service be stale from now on."""
