--- a/celeryturn/app.py
+++ b/celeryturn/app.py
@@ -44,7 +44,11 @@
         loop = asyncio.get_running_loop()
         incarnation = int(time.time() * MILLISECONDS)
         self.instance = Instance(settings, loop.time, incarnation)
-        self.links = Links(loop.time, settings.timing.connect_timeout_seconds)
+        self.links = Links(
+            loop.time,
+            settings.timing.connect_timeout_seconds,
+            settings.callers.address,
+        )
         self.network = peers.Network(self.instance)
         entry = Entry(self.instance, self.links, self.drain)
         self.server = HttpServer(
--- a/celeryturn/decisions/budget.py
+++ b/celeryturn/decisions/budget.py
@@ -34,6 +34,16 @@
     budget.tokens = min(MOST_TOKENS, earned)
 
 
+def owe(budget: Budget) -> None:
+    """Take a token for an extra sub-request that cannot be done without.
+
+    :param budget: The bucket of one service; it may fall below zero, and
+        then nothing more is spent until needed sub-requests have earned it.
+    """
+    budget.tokens -= 1
+    budget.extra_count += 1
+
+
 def spend(budget: Budget, extra_count: int = 1) -> bool:
     """Take tokens for extra sub-requests, all or none.
 
--- a/celeryturn/decisions/course.py
+++ b/celeryturn/decisions/course.py
@@ -113,6 +113,7 @@
     :param sent_count: Attempts sent, the extra ones included.
     :param open_count: Shards not yet settled.
     :param included_count: Shards whose reply is in.
+    :param is_scouting: Whether one shard is asked before the others.
     :param is_restarted: Whether it was moved to another snapshot.
     :param is_finished: Whether the answer was decided on.
     """
@@ -121,6 +122,7 @@
         'included_count',
         'is_finished',
         'is_restarted',
+        'is_scouting',
         'last_number',
         'open_count',
         'plan',
@@ -138,4 +140,5 @@
         self.open_count = len(plan.shards)
         self.included_count = 0
         self.is_restarted = False
+        self.is_scouting = False
         self.is_finished = False
--- a/celeryturn/decisions/fleet.py
+++ b/celeryturn/decisions/fleet.py
@@ -11,7 +11,7 @@
 )
 from celeryturn.decisions.latency import LatencyWindow
 from celeryturn.decisions.limits import set_share, share_of, waiting_count
-from celeryturn.decisions.planning import newest_common_snapshot
+from celeryturn.decisions.planning import SnapshotChoice, choose_snapshot
 from celeryturn.decisions.views import (
     TargetView,
     observe_leaving,
@@ -47,7 +47,7 @@
         self.views: dict[str, TargetView] = {}
         self.budget = Budget()
         self.window = LatencyWindow(now_seconds)
-        self.snapshot = 0
+        self.snapshot = SnapshotChoice(0, is_guess=True)
         self.snapshot_due_seconds = 0.0
 
     @property
@@ -94,16 +94,19 @@
         set_share(service.views[name].gate, share)
 
 
-def current_snapshot(service: ServiceState, now_seconds: float) -> int:
+def current_snapshot(
+    service: ServiceState, now_seconds: float
+) -> SnapshotChoice:
     """Choose the snapshot for a new query, anew a few times a second.
 
     :param service: State of the service.
     :param now_seconds: Time of admission.
     :returns: A snapshot that every shard is believed to hold.
     """
-    if now_seconds >= service.snapshot_due_seconds:
-        service.snapshot = newest_common_snapshot(
-            serving_index(service.document), service.views
+    is_due = now_seconds >= service.snapshot_due_seconds
+    if is_due or service.snapshot.is_guess:
+        service.snapshot = choose_snapshot(
+            serving_index(service.document), service.views, now_seconds
         )
         service.snapshot_due_seconds = now_seconds + SNAPSHOT_REFRESH_SECONDS
     return service.snapshot
--- a/celeryturn/decisions/planning.py
+++ b/celeryturn/decisions/planning.py
@@ -11,7 +11,11 @@
     shard_of,
 )
 from celeryturn.decisions.limits import Urgency
-from celeryturn.decisions.views import TargetView, may_get_work
+from celeryturn.decisions.views import (
+    TargetView,
+    knows_snapshots,
+    may_get_work,
+)
 from celeryturn.errors import CeleryturnError, Kind
 
 
@@ -44,6 +48,17 @@
     deadline_seconds: float
 
 
+class SnapshotChoice(NamedTuple):
+    """The snapshot a new query reads.
+
+    :param snapshot: Its number.
+    :param is_guess: Whether nothing recent is known of what targets hold.
+    """
+
+    snapshot: int
+    is_guess: bool
+
+
 class QueryPlan(NamedTuple):
     """What every sub-request of a query carries, pinned at admission.
 
@@ -52,6 +67,7 @@
     :param configuration_version: Version of the service's document.
     :param partition: Index version with its partition map.
     :param snapshot: The one snapshot that is read.
+    :param is_guess: Whether one target is to be asked for it first.
     :param shards: Names of the shards that the answer needs.
     :param priority: What the service weighs most.
     :param enough_coverage: Share of shards from which it may stop early.
@@ -65,6 +81,7 @@
     configuration_version: int
     partition: Index
     snapshot: int
+    is_guess: bool
     shards: tuple[str, ...]
     priority: str
     enough_coverage: float
@@ -74,13 +91,16 @@
 
 
 def plan_query(
-    document: ServiceDocument, ask: Ask, snapshot: int, now_seconds: float
+    document: ServiceDocument,
+    ask: Ask,
+    choice: SnapshotChoice,
+    now_seconds: float,
 ) -> QueryPlan:
     """Pin everything that an answer depends on.
 
     :param document: The service's configuration in force.
     :param ask: What the caller asked.
-    :param snapshot: The snapshot to read.
+    :param choice: The snapshot to read.
     :param now_seconds: Time of admission.
     :returns: The plan.
     :raises CeleryturnError: ``unknown_shard``.
@@ -95,7 +115,8 @@
         urgency=urgency,
         configuration_version=document.version,
         partition=index,
-        snapshot=snapshot,
+        snapshot=choice.snapshot,
+        is_guess=choice.is_guess,
         shards=_shards(index, ask),
         priority=document.priority,
         enough_coverage=document.enough_coverage,
@@ -117,42 +138,58 @@
     return tuple(dict.fromkeys(ask.shards)) or tuple(index.shards)
 
 
-def newest_common_snapshot(
-    index: Index, views: Mapping[str, TargetView], above: int = 0
-) -> int:
+def choose_snapshot(
+    index: Index, views: Mapping[str, TargetView], now_seconds: float
+) -> SnapshotChoice:
     """Choose the newest snapshot that every shard is known to hold.
 
+    Shards of which nothing recent is known are left out of the choice; where
+    nothing recent is known at all, the choice is a guess.
+
     :param index: The index version that is read.
     :param views: What is believed of each target.
-    :param above: A snapshot that turned out to be gone, if any.
+    :param now_seconds: Time of the choice.
     :returns: A snapshot at or above the one published.
     """
-    newest_of_shards = (
-        _newest(shard.replicas, views) for shard in index.shards.values()
+    known = [
+        newest
+        for shard in index.shards.values()
+        if (newest := _newest_known(shard.replicas, views, now_seconds))
+    ]
+    if known:
+        return SnapshotChoice(max(index.snapshot, min(known)), is_guess=False)
+    said = max(
+        (view.report.newest_snapshot for view in views.values()), default=0
     )
-    common = min((newest for newest in newest_of_shards if newest), default=0)
-    return max(index.snapshot, common, above)
+    return SnapshotChoice(max(index.snapshot, said), is_guess=True)
 
 
-def holds(view: TargetView, snapshot: int) -> bool:
+def holds(view: TargetView, snapshot: int, now_seconds: float) -> bool:
     """Tell whether a target may hold a snapshot, by what it last said.
 
     :param view: What is believed of the target.
     :param snapshot: The snapshot in question.
-    :returns: True also where nothing is known.
+    :param now_seconds: Time of the question.
+    :returns: True also where nothing recent is known.
     """
-    report = view.report
-    if not report.newest_snapshot:
+    if not knows_snapshots(view, now_seconds):
         return True
+    report = view.report
     return report.oldest_snapshot <= snapshot <= report.newest_snapshot
 
 
-def _newest(replicas: Iterable[str], views: Mapping[str, TargetView]) -> int:
+def _newest_known(
+    replicas: Iterable[str],
+    views: Mapping[str, TargetView],
+    now_seconds: float,
+) -> int:
     return max(
         (
             views[name].report.newest_snapshot
             for name in replicas
-            if name in views and may_get_work(views[name])
+            if name in views
+            and may_get_work(views[name])
+            and knows_snapshots(views[name], now_seconds)
         ),
         default=0,
     )
--- a/celeryturn/decisions/query.py
+++ b/celeryturn/decisions/query.py
@@ -5,6 +5,8 @@
 context names; they read nothing else, so equal inputs give equal actions.
 """
 
+from collections.abc import Iterable
+
 from celeryturn.decisions import budget, hedging, routing, snapshots
 from celeryturn.decisions.course import (
     Action,
@@ -20,19 +22,25 @@
     Wake,
 )
 from celeryturn.decisions.messages import Reply
-from celeryturn.decisions.planning import QueryPlan, holds
+from celeryturn.decisions.planning import holds
 from celeryturn.decisions.stopping import answer_due_seconds, may_stop_early
 
 
 def begin(query: QueryState, context: Context) -> Actions:
     """Send the needed sub-requests.
 
+    Where the snapshot is a guess, one shard is asked first: if its target
+    does not hold the snapshot, it says which it holds, and one sub-request
+    is lost in place of all.
+
     :param query: A new query.
     :param context: What may be looked at.
-    :returns: One send a shard, and the first wake-up.
+    :returns: One send a shard, or one in all, and the first wake-up.
     """
     plan = query.plan
-    actions = _send_first(query, context)
+    query.is_scouting = plan.is_guess
+    shards = plan.shards[:1] if plan.is_guess else plan.shards
+    actions = _send_first(query, shards, context)
     budget.earn(context.budget, len(plan.shards), plan.extra_load_share)
     return _conclude(query, context, actions)
 
@@ -59,6 +67,9 @@
     _settle(query, progress)
     query.included_count += 1
     actions = _cancel_all(query, progress)
+    if query.is_scouting:
+        actions.extend(_send_held(query, context))
+        return _conclude(query, context, actions)
     if query.open_count and _must_stop(query, context):
         return actions + finish(query)
     return _conclude_settled(query, actions)
@@ -84,13 +95,13 @@
         query.sent_count -= 1
     if failure is Failure.SNAPSHOT_GONE:
         if snapshots.should_restart(query, context):
-            held = snapshots.other_snapshot(query, context)
-            plan = query.plan._replace(snapshot=held)
-            return restart(query, plan, context)
-    if progress.attempts:
-        return []
-    actions = _retry(query, shard, context)
-    return _conclude(query, context, actions)
+            return _restart(query, context)
+    actions: Actions = []
+    if query.is_scouting:
+        actions.extend(_send_held(query, context))
+    if not progress.attempts:
+        actions.extend(_retry(query, shard, context))
+    return _conclude(query, context, actions) if actions else []
 
 
 def on_wake(query: QueryState, context: Context) -> Actions:
@@ -105,13 +116,11 @@
     if _must_stop(query, context):
         return finish(query)
     actions: Actions = []
+    if query.is_scouting:
+        actions.extend(_send_held(query, context))
     for shard, progress in query.progress.items():
-        if progress.is_settled:
-            continue
-        if not progress.attempts:
-            actions.extend(_retry(query, shard, context))
-        elif hedging.may_hedge(progress, context):
-            actions.extend(_send_extra(query, shard, context))
+        if not progress.is_settled:
+            actions.extend(_push(query, shard, context))
     return _conclude(query, context, actions)
 
 
@@ -137,35 +146,51 @@
     return actions
 
 
-def restart(query: QueryState, plan: QueryPlan, context: Context) -> Actions:
-    """Begin again on another snapshot, inside the same deadline.
-
-    Replies of the former snapshot are dropped: they never meet in an
-    answer with those of the new one.
-
-    :param query: The query; it must not have been restarted before.
-    :param plan: The same plan on the other snapshot.
-    :param context: What may be looked at.
-    :returns: Cancellations and new sends.
-    """
+def _restart(query: QueryState, context: Context) -> Actions:
+    # Replies of the former snapshot are dropped: they never meet in an
+    # answer with those of the other one.
     actions: Actions = []
     for progress in query.progress.values():
         actions.extend(_cancel_all(query, progress))
-    query.plan = plan
-    query.is_restarted = True
-    query.progress = {shard: ShardProgress() for shard in plan.shards}
-    query.open_count = len(plan.shards)
+    held = snapshots.other_snapshot(query, context)
+    query.plan = query.plan._replace(snapshot=held)
+    query.is_restarted = not query.is_scouting
+    query.is_scouting = False
+    shards = query.plan.shards
+    query.progress = {shard: ShardProgress() for shard in shards}
+    query.open_count = len(shards)
     query.included_count = 0
-    actions.extend(_send_first(query, context))
+    actions.extend(_send_first(query, shards, context))
     return _conclude(query, context, actions)
 
 
-def _send_first(query: QueryState, context: Context) -> Actions:
+def _push(query: QueryState, shard: str, context: Context) -> Actions:
+    progress = query.progress[shard]
+    if not progress.attempts:
+        return _retry(query, shard, context)
+    if hedging.may_hedge(progress, context):
+        return _send_extra(query, shard, context)
+    return []
+
+
+def _send_held(query: QueryState, context: Context) -> Actions:
+    query.is_scouting = False
+    held = [
+        shard
+        for shard, progress in query.progress.items()
+        if not progress.tried and not progress.is_settled
+    ]
+    return _send_first(query, held, context)
+
+
+def _send_first(
+    query: QueryState, shards: Iterable[str], context: Context
+) -> Actions:
     actions: Actions = []
-    for shard, progress in query.progress.items():
+    for shard in shards:
         target = _best_untried(query, shard, context)
         if target is None:
-            _settle(query, progress)
+            _settle(query, query.progress[shard])
         else:
             actions.append(_send(query, shard, target, context))
     return actions
@@ -217,7 +242,7 @@
         context.random,
     )
     for name in ranked:
-        if holds(context.views[name], query.plan.snapshot):
+        if holds(context.views[name], query.plan.snapshot, context.now_seconds):
             return name
     return ranked[0] if ranked else None
 
--- a/celeryturn/decisions/snapshots.py
+++ b/celeryturn/decisions/snapshots.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import Final
 
-from celeryturn.decisions.budget import spend
+from celeryturn.decisions.budget import owe, spend
 from celeryturn.decisions.course import Context, Failure, QueryState
 from celeryturn.decisions.planning import holds
 
@@ -15,8 +15,12 @@
 
     :param query: The query.
     :param context: What may be looked at.
-    :returns: True at most once a query.
+    :returns: True at most once a query, and once more for the shard that
+        is asked first.
     """
+    if query.is_scouting:
+        owe(context.budget)
+        return True
     if query.is_restarted:
         return False
     shard_count = len(query.plan.shards)
@@ -52,7 +56,7 @@
 def _count_holding(query: QueryState, context: Context, snapshot: int) -> int:
     return sum(
         any(
-            holds(context.views[name], snapshot)
+            holds(context.views[name], snapshot, context.now_seconds)
             for name in shard.replicas
             if name in context.views
         )
--- a/celeryturn/decisions/views.py
+++ b/celeryturn/decisions/views.py
@@ -9,6 +9,7 @@
 EJECT_SECONDS: Final = 5.0
 SLOW_START_SECONDS: Final = 3.0
 UNKNOWN_LATENCY_SECONDS: Final = 0.005
+REPORT_FRESH_SECONDS: Final = 1.0
 
 
 class Report(NamedTuple):
@@ -35,6 +36,7 @@
     :param failure_count: Failures since the last reply.
     :param ejected_until_seconds: No work before this time, but for a trial.
     :param returned_seconds: When it last came back or was first seen.
+    :param reported_seconds: When it last said anything of itself.
     :param leaving_since_seconds: First credible sign of leaving, if any.
     """
 
@@ -43,6 +45,7 @@
         'failure_count',
         'latency_seconds',
         'leaving_since_seconds',
+        'reported_seconds',
         'returned_seconds',
     )
 
@@ -51,6 +54,7 @@
         self.failure_count = 0
         self.ejected_until_seconds = 0.0
         self.returned_seconds = now_seconds
+        self.reported_seconds = float('-inf')
         self.leaving_since_seconds: float | None = None
 
 
@@ -92,11 +96,37 @@
     health.latency_seconds += SMOOTHING * (
         latency_seconds - health.latency_seconds
     )
+    observe_report(view, report, now_seconds)
+
+
+def observe_report(
+    view: TargetView, report: Report, now_seconds: float
+) -> None:
+    """Take in what a target says of itself, in a reply or a refusal.
+
+    :param view: The target.
+    :param report: What it said.
+    :param now_seconds: Time of hearing.
+    """
     view.report = report
+    view.health.reported_seconds = now_seconds
     if report.draining:
         observe_leaving(view, now_seconds)
 
 
+def knows_snapshots(view: TargetView, now_seconds: float) -> bool:
+    """Tell whether it is known which snapshots a target holds.
+
+    :param view: The target.
+    :param now_seconds: Time of the question.
+    :returns: False where it said nothing, or too long ago: snapshots move on.
+    """
+    age_seconds = now_seconds - view.health.reported_seconds
+    return bool(view.report.newest_snapshot) and (
+        age_seconds <= REPORT_FRESH_SECONDS
+    )
+
+
 def observe_failure(view: TargetView, now_seconds: float) -> None:
     """Learn from a failed exchange.
 
--- a/celeryturn/http/client.py
+++ b/celeryturn/http/client.py
@@ -191,20 +191,27 @@
 
 
 async def connect(
-    address: str, port: int, timeout_seconds: float
+    address: str,
+    port: int,
+    timeout_seconds: float,
+    own_address: str | None = None,
 ) -> Connection:
     """Open a connection.
 
     :param address: IP address.
     :param port: TCP port.
     :param timeout_seconds: Longest wait.
+    :param own_address: Address to connect from; any by default.
     :returns: An idle connection.
     :raises OSError: When it cannot be opened in time.
     """
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout_seconds):
         _, connection = await loop.create_connection(
-            lambda: Connection(f'{address}:{port}'), address, port
+            lambda: Connection(f'{address}:{port}'),
+            address,
+            port,
+            local_addr=(own_address, 0) if own_address else None,
         )
     return connection
 
--- a/celeryturn/queries/dump.py
+++ b/celeryturn/queries/dump.py
@@ -102,7 +102,7 @@
     return ServiceDump(
         configuration_version=service.document.version,
         serving_index=service.document.serving_index,
-        snapshot=service.snapshot,
+        snapshot=service.snapshot.snapshot,
         extra_load_tokens=service.budget.tokens,
         needed_count=service.budget.needed_count,
         extra_count=service.budget.extra_count,
--- a/celeryturn/queries/read.py
+++ b/celeryturn/queries/read.py
@@ -20,8 +20,8 @@
     """
     service = service_of(instance, ask.service)
     now_seconds = instance.clock()
-    snapshot = fleet.current_snapshot(service, now_seconds)
-    return plan_query(service.document, ask, snapshot, now_seconds)
+    choice = fleet.current_snapshot(service, now_seconds)
+    return plan_query(service.document, ask, choice, now_seconds)
 
 
 async def read(instance: Instance, links: Links, ask: Ask) -> QueryAnswer:
--- a/celeryturn/queries/runner.py
+++ b/celeryturn/queries/runner.py
@@ -181,7 +181,8 @@
     view = runner.service.views.get(attempt.target)
     if view is not None and refusal.report.boot:
         _note_report(runner, attempt.target, refusal.report)
-        view.report = refusal.report
+        now_seconds = runner.instance.clock()
+        views.observe_report(view, refusal.report, now_seconds)
     if view is not None and refusal.failure is course.Failure.SHED:
         limits.on_shed(view.gate)
     _on_failure(runner, attempt, refusal.failure)
@@ -190,7 +191,6 @@
 def _note_report(runner: Runner, target: str, report: views.Report) -> None:
     view = runner.service.views[target]
     if report.draining and views.may_get_work(view):
-        views.observe_leaving(view, runner.instance.clock())
         log(TARGET_LEAVING, target=target, source='reply')
 
 
--- a/celeryturn/targets/links.py
+++ b/celeryturn/targets/links.py
@@ -131,6 +131,7 @@
     :param links: By service and target name.
     :param clock: Monotonic clock, in seconds.
     :param connect_timeout_seconds: Longest wait for a connection.
+    :param own_address: Address to connect from; any by default.
     :param opening: Tasks that open connections.
     :param last_ticket: Number of the newest exchange.
     """
@@ -141,11 +142,16 @@
         'last_ticket',
         'links',
         'opening',
+        'own_address',
     )
 
     def __init__(
-        self, clock: Callable[[], float], connect_timeout_seconds: float
+        self,
+        clock: Callable[[], float],
+        connect_timeout_seconds: float,
+        own_address: str | None = None,
     ) -> None:
+        self.own_address = own_address
         self.links: dict[tuple[str, str], Link] = {}
         self.clock = clock
         self.connect_timeout_seconds = connect_timeout_seconds
@@ -260,7 +266,9 @@
 
 async def _open_and_write(links: Links, link: Link, exchange: Exchange) -> None:
     try:
-        connection = await connect(*link.address, links.connect_timeout_seconds)
+        connection = await connect(
+            *link.address, links.connect_timeout_seconds, links.own_address
+        )
     except OSError as error:
         _end_opening(links, link, exchange, NotSentError(str(error)))
         return
--- a/standins/serve.py
+++ b/standins/serve.py
@@ -10,10 +10,11 @@
 import yaml
 
 from standins.platform import PlatformStandin
-from standins.target import Dataset, TargetStandin
-from standins.topology import USERS, build_records
+from standins.target import Dataset, Place, TargetStandin
+from standins.topology import USERS, build_records, zone_address
 
 ADDRESS: Final = '127.0.0.1'
+SNAPSHOT_SECONDS: Final = 0.5
 
 
 def platform(port: int, documents: str, instances: str) -> None:
@@ -54,6 +55,8 @@
     )
     shape = USERS[user].services[service]
     dataset = Dataset(service, build_records(document))
+    dataset.is_stamped = True
+    fleet = USERS[user]
     for name, target in document['targets'].items():
         standin = TargetStandin(
             name,
@@ -61,9 +64,21 @@
             shape.slots,
             shape.connections,
             shape.connect_seconds,
+            Place(
+                zone_address(fleet, target['availability_zone']),
+                2 * fleet.zone_seconds,
+            ),
         )
         await standin.server.start(ADDRESS, target['port'])
+    moving = asyncio.create_task(_move_snapshots(dataset))
     await _until_signal()
+    moving.cancel()
+
+
+async def _move_snapshots(dataset: Dataset) -> None:
+    while True:
+        await asyncio.sleep(SNAPSHOT_SECONDS)
+        dataset.newest_snapshot += 1
 
 
 async def _until_signal() -> None:
--- a/standins/topology.py
+++ b/standins/topology.py
@@ -47,11 +47,13 @@
 
     :param region: Name of the region.
     :param zones: Its availability zones.
+    :param zone_seconds: One-way latency between two zones.
     :param services: Its services.
     """
 
     region: str
     zones: tuple[str, ...]
+    zone_seconds: float
     services: Mapping[str, Shape]
 
 
@@ -60,6 +62,7 @@
         'consorcio': User(
             'cantabrico',
             ('oviedo-a', 'santander-b', 'bilbao-c'),
+            0.001,
             MappingProxyType(
                 {
                     'reservas': Shape(10, 30, 3, 5, 40, 0.006, 'coverage'),
@@ -74,6 +77,7 @@
         'redda': User(
             'colombo',
             ('kollu', 'dehi', 'rajag'),
+            0.0005,
             MappingProxyType(
                 {
                     'slot-finder': Shape(10, 30, 3, 3, 30, 0.006, 'latency'),
@@ -87,6 +91,16 @@
 )
 
 
+def zone_address(user: User, zone: str) -> str:
+    """Give each availability zone a loopback address of its own.
+
+    :param user: The user's fleet.
+    :param zone: One of its zones.
+    :returns: The address from which its instances connect.
+    """
+    return f'127.0.0.{user.zones.index(zone) + 1}'
+
+
 def target_names(service: str, shape: Shape) -> list[str]:
     """Name the targets of a service.
 
--- a/tests/decisions/query.feature
+++ b/tests/decisions/query.feature
@@ -83,6 +83,32 @@
     Then the answer is complete
     And every record is of snapshot 110
 
+  Scenario: After a pause one shard is asked first, and then the others
+    Given nothing recent is known of the targets
+    When a query begins with a deadline of 2 seconds
+    Then 1 attempt of s00 is under way
+    And 1 attempts were sent in all
+    When every attempt is replied to
+    Then the answer is complete
+    And 4 attempts were sent in all
+
+  Scenario: After a pause the snapshot may be gone, which costs one attempt
+    Given nothing recent is known of the targets
+    And the extra-load budget holds 0 tokens
+    When a query begins with a deadline of 2 seconds
+    And the targets say that they hold snapshots 105 to 110
+    And the attempt of s00 fails as snapshot_gone
+    And every attempt is replied to
+    Then the answer is complete
+    And every record is of snapshot 110
+    And 5 attempts were sent in all
+
+  Scenario: After a pause a silent target does not hold the others up for long
+    Given nothing recent is known of the targets
+    When a query begins with a deadline of 2 seconds
+    And 0.06 seconds pass
+    Then 5 attempts were sent in all
+
   Scenario: A second loss of the snapshot does not move it again
     Given the targets hold snapshots 105 to 110
     And the pinned snapshot is 100
--- a/tests/steps/processes.py
+++ b/tests/steps/processes.py
@@ -89,6 +89,17 @@
         assert answer['coverage']['is_complete'], answer['coverage']
 
 
+@then('every search has a whole answer, lacking only what was not in time')
+def expect_whole(context: Context) -> None:
+    """Expect answers that account for every shard."""
+    for reply in context.replies:
+        coverage = msgspec.json.decode(reply.body)['coverage']
+        lacking = coverage['lacking']
+        assert len(coverage['included']) + len(lacking) == 10, coverage
+        reasons = {entry['reason'] for entry in lacking}
+        assert reasons <= {'not_in_time'}, reasons
+
+
 @then('"{name}" exits with {code:d}')
 def expect_exit(context: Context, name: str, code: int) -> None:
     """Expect that a process ends by itself."""
