--- a/celeryturn/cli.py
+++ b/celeryturn/cli.py
@@ -7,7 +7,6 @@
 from typing import Any, Final
 from urllib.parse import urlencode
 
-import fire
 import msgspec
 
 from celeryturn import tables
@@ -15,6 +14,7 @@
 from celeryturn.decisions.document import parse_document
 from celeryturn.errors import CeleryturnError
 from celeryturn.settings import parse_settings, read_yaml
+from celeryturn.words import call
 
 DEFAULT_AT: Final = '127.0.0.1:7101'
 DEFAULT_DEADLINE_SECONDS: Final = 2.0
@@ -236,10 +236,7 @@
         drain,
     )
     try:
-        fire.Fire(
-            {command.__name__: command for command in commands},
-            name='celeryturn',
-        )
+        call({command.__name__: command for command in commands}, 'celeryturn')
     except CeleryturnError as error:
         sys.stderr.write(f'{error}\n')
         sys.exit(error.answer.exit_code)
--- a/celeryturn/daemon.py
+++ b/celeryturn/daemon.py
@@ -4,12 +4,11 @@
 import signal
 import sys
 
-import fire
-
 from celeryturn.app import Application
 from celeryturn.errors import CeleryturnError
 from celeryturn.events import START_FAILED, log, log_to
 from celeryturn.settings import Settings, load_settings
+from celeryturn.words import call
 
 
 async def serve(settings: Settings) -> None:
@@ -55,7 +54,7 @@
 
 def main() -> None:
     """Entry point of the daemon."""
-    fire.Fire(run, name='celeryturnd')
+    call(run, 'celeryturnd')
 
 
 if __name__ == '__main__':
--- a/celeryturn/decisions/query.py
+++ b/celeryturn/decisions/query.py
@@ -117,9 +117,9 @@
         return finish(query)
     actions: Actions = []
     if query.is_scouting:
-        actions.extend(_send_held(query, context))
+        actions.extend(_send_more_scouts(query, context))
     for shard, progress in query.progress.items():
-        if not progress.is_settled:
+        if progress.tried and not progress.is_settled:
             actions.extend(_push(query, shard, context))
     return _conclude(query, context, actions)
 
@@ -175,12 +175,25 @@
 
 def _send_held(query: QueryState, context: Context) -> Actions:
     query.is_scouting = False
-    held = [
+    return _send_first(query, _held(query), context)
+
+
+def _send_more_scouts(query: QueryState, context: Context) -> Actions:
+    # Twice as many each time: a target that stays silent holds the others up
+    # for a few wake-ups, and a wrong guess is not sent to all at once.
+    held = _held(query)
+    sent_count = len(query.plan.shards) - len(held)
+    if sent_count >= len(held):
+        query.is_scouting = False
+    return _send_first(query, held[:sent_count], context)
+
+
+def _held(query: QueryState) -> list[str]:
+    return [
         shard
         for shard, progress in query.progress.items()
         if not progress.tried and not progress.is_settled
     ]
-    return _send_first(query, held, context)
 
 
 def _send_first(
--- a/celeryturn/instance.py
+++ b/celeryturn/instance.py
@@ -30,6 +30,7 @@
     :param bookings: Booking ids seen.
     :param metrics: Collectors.
     :param on_adopted: Called with every document that comes in force.
+    :param scouts: Pending while a query finds out the snapshot, by service.
     :param background: Tasks that outlive the request that began them.
     :param is_ready: Whether it serves callers.
     :param is_leaving: Whether a graceful shutdown has begun.
@@ -50,6 +51,7 @@
         self.bookings = BookingTable()
         self.metrics = Metrics()
         self.on_adopted: list[OnAdopted] = []
+        self.scouts: dict[str, asyncio.Future[None]] = {}
         self.background: set[asyncio.Task[object]] = set()
         self.is_ready = False
         self.is_leaving = False
--- a/celeryturn/queries/read.py
+++ b/celeryturn/queries/read.py
@@ -7,6 +7,7 @@
 from celeryturn.instance import Instance, service_of
 from celeryturn.metrics import count_answer
 from celeryturn.queries.runner import Runner, run_query
+from celeryturn.queries.scouts import wait_for_scout
 from celeryturn.targets.links import Links
 
 
@@ -35,6 +36,7 @@
         or nothing at all could be read.
     """
     service = service_of(instance, ask.service)
+    await wait_for_scout(instance, ask.service)
     runner = Runner(instance, links, service, plan(instance, ask))
     answer = await run_query(runner)
     count_answer(instance.metrics, answer)
--- a/celeryturn/queries/runner.py
+++ b/celeryturn/queries/runner.py
@@ -11,6 +11,7 @@
 from celeryturn.events import TARGET_LEAVING, log
 from celeryturn.http.messages import HttpReply
 from celeryturn.instance import Instance
+from celeryturn.queries.scouts import begin_scouting, end_scouting
 from celeryturn.targets import links, wire
 from celeryturn.timer import Timer
 
@@ -61,6 +62,9 @@
     :param runner: A new runner.
     :returns: The merged answer.
     """
+    plan = runner.state.plan
+    if plan.is_guess:
+        begin_scouting(runner.instance, plan.ask.service)
     try:
         _apply(runner, query.begin(runner.state, _context(runner)))
         await runner.finished.wait()
@@ -171,6 +175,7 @@
     if (reply.service, reply.shard) != asked_for:
         _on_failure(runner, attempt, course.Failure.BAD_REPLY)
         return
+    _end_scouting(runner)
     context = _context(runner)
     _apply(runner, query.on_reply(runner.state, attempt.number, reply, context))
 
@@ -183,11 +188,17 @@
         _note_report(runner, attempt.target, refusal.report)
         now_seconds = runner.instance.clock()
         views.observe_report(view, refusal.report, now_seconds)
+        _end_scouting(runner)
     if view is not None and refusal.failure is course.Failure.SHED:
         limits.on_shed(view.gate)
     _on_failure(runner, attempt, refusal.failure)
 
 
+def _end_scouting(runner: Runner) -> None:
+    if runner.state.is_scouting:
+        end_scouting(runner.instance, runner.state.plan.ask.service)
+
+
 def _note_report(runner: Runner, target: str, report: views.Report) -> None:
     view = runner.service.views[target]
     if report.draining and views.may_get_work(view):
@@ -238,6 +249,8 @@
 
 def _close(runner: Runner) -> None:
     runner.timer.disarm()
+    if runner.state.plan.is_guess:
+        end_scouting(runner.instance, runner.state.plan.ask.service)
     if not runner.state.is_finished:
         _apply(runner, query.finish(runner.state))
 
--- a/examples/fleet.py
+++ b/examples/fleet.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import os
+import shutil
 import signal
 import socket
 import subprocess  # noqa: S404
@@ -109,7 +110,8 @@
     """Shut the instances down gracefully, then end the stand-ins.
 
     :param fleet: The fleet.
-    :returns: Whether every instance ended by itself with exit code 0.
+    :returns: Whether every instance ended by itself with exit code 0; the
+        folder with the logs is kept when one did not.
     """
     for process in fleet.instances.values():
         process.send_signal(signal.SIGTERM)
@@ -117,7 +119,10 @@
     for standin in fleet.standins:
         standin.terminate()
         _wait(standin)
-    return not any(codes)
+    is_good = not any(codes)
+    if is_good:
+        shutil.rmtree(fleet.folder)
+    return is_good
 
 
 def free_ports(count: int) -> list[int]:
--- a/examples/run.py
+++ b/examples/run.py
@@ -6,8 +6,7 @@
 import time
 from typing import Final
 
-import fire
-
+from celeryturn.words import call
 from examples.fleet import start_fleet, stop_fleet, wait_ready
 from standins.topology import USERS
 
@@ -65,4 +64,4 @@
 
 
 if __name__ == '__main__':
-    fire.Fire(run)
+    call(run, 'run')
--- a/standins/serve.py
+++ b/standins/serve.py
@@ -5,10 +5,10 @@
 from pathlib import Path
 from typing import Final
 
-import fire
 import msgspec
 import yaml
 
+from celeryturn.words import call
 from standins.platform import PlatformStandin
 from standins.target import Dataset, Place, TargetStandin
 from standins.topology import USERS, build_records, zone_address
@@ -90,4 +90,4 @@
 
 
 if __name__ == '__main__':
-    fire.Fire({'platform': platform, 'targets': targets})
+    call({'platform': platform, 'targets': targets}, 'standins')
--- a/standins/target.py
+++ b/standins/target.py
@@ -107,6 +107,7 @@
     :param boot: Changes when it starts again.
     :param log: What it was asked: path and clock time.
     :param false_health: What its health endpoint says in place of the truth.
+    :param conflict_count: Requests refused for their index, snapshot or epoch.
     :param most_connections_seen: Most connections open at once, so far.
     """
 
@@ -127,6 +128,7 @@
         self.boot = f'{name}-1'
         self.log: list[tuple[str, float]] = []
         self.most_connections_seen = 0
+        self.conflict_count = 0
         self.false_health: dict[str, Any] = {}
         self._random = random.Random(name)
         self._slots = asyncio.Semaphore(slots)
@@ -307,6 +309,7 @@
         )
 
     def _conflict(self, reason: str) -> HttpReply:
+        self.conflict_count += 1
         return json_reply(
             CONFLICT,
             {'run': 'not_run', 'reason': reason, 'report': self.report()},
--- a/tests/entry/answers.feature
+++ b/tests/entry/answers.feature
@@ -42,6 +42,12 @@
     Then the answer covers 3 of 4 shards
     And it lacks "s00"
 
+  Scenario: Many searches at once after a rest
+    Given the data has moved on to snapshot 500 while nobody asked
+    When 30 callers search "reservas" at once
+    Then every answer covers 4 of 4 shards
+    And at most 4 sub-requests were refused for their snapshot
+
   Scenario: An index that moves on under a query
     When operators publish index 2 of "reservas" with 6 shards
     And the instances serve version 2 of "reservas"
--- a/tests/processes.feature
+++ b/tests/processes.feature
@@ -30,6 +30,11 @@
       | check examples/settings-redda.yaml               | 0    | valid settings of       |
       | check examples/configuration-reservas.yaml       | 0    | valid configuration of reservas |
 
+  Scenario: A path that looks like a number brings no warning
+    When an operator runs "check /tmp/0none/1e5x.yaml"
+    Then it exits with 2
+    And nothing is printed but the refusal
+
   Scenario: JSON for machines
     When an operator runs "search reservas --json"
     Then it exits with 0
--- a/tests/steps/processes.py
+++ b/tests/steps/processes.py
@@ -57,6 +57,13 @@
     assert text in context.printed, context.printed
 
 
+@then('nothing is printed but the refusal')
+def expect_refusal_only(context: Context) -> None:
+    """Expect one refusal and no warning."""
+    assert context.printed.startswith('CT-501'), context.printed
+    assert 'Warning' not in context.printed, context.printed
+
+
 @then('it prints JSON with the fields "{names}"')
 def expect_json(context: Context, names: str) -> None:
     """Expect JSON with some fields."""
--- a/tests/steps/requests.py
+++ b/tests/steps/requests.py
@@ -119,6 +119,38 @@
     _ask(context, '/v1/search', {'service': service, 'limit_count': 1000})
 
 
+@given('the data has moved on to snapshot {snapshot:d} while nobody asked')
+def move_on(context: Context, snapshot: int) -> None:
+    """Let the targets' data move on."""
+    for dataset in context.world.datasets.values():
+        dataset.newest_snapshot = snapshot
+
+
+@when('{count:d} callers search "{service}" at once')
+def search_at_once(context: Context, count: int, service: str) -> None:
+    """Search many times at the same moment."""
+    body = {'service': service}
+
+    async def go() -> None:
+        await asyncio.gather(
+            *(
+                context.world.ask('POST', '/v1/search', body)
+                for _ in range(count)
+            )
+        )
+
+    context.world.answers.clear()
+    context.loop.run_until_complete(go())
+
+
+@then('at most {count:d} sub-requests were refused for their snapshot')
+def expect_few_refused(context: Context, count: int) -> None:
+    """Expect that the wrong guess was not sent for every search."""
+    standins = context.world.targets.values()
+    refused = sum(standin.conflict_count for standin in standins)
+    assert 0 < refused <= count, refused
+
+
 @when('a caller searches "{service}" {count:d} times')
 def search_often(context: Context, service: str, count: int) -> None:
     """Search several times, one after the other."""
