--- a/celeryturn/commands/book.py
+++ b/celeryturn/commands/book.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from celeryturn.decisions import booking, bookings, views
+from celeryturn.decisions.admission import is_booking_hopeless
 from celeryturn.decisions.document import serving_index, shard_of
 from celeryturn.decisions.fleet import ServiceState
 from celeryturn.decisions.limits import Urgency
@@ -210,7 +211,9 @@
         lambda: _make_request(sender),
         lambda _ended, outcome: _settle(sender, outcome),
     )
-    if not links.submit(sender.links, link, exchange):
+    left_seconds = plan.deadline_seconds - sender.instance.clock()
+    is_refused = is_booking_hopeless(view, left_seconds)
+    if is_refused or not links.submit(sender.links, link, exchange):
         raise CeleryturnError(
             Kind.OVERLOADED, f'too much is waiting for {plan.target}'
         )
--- a/celeryturn/decisions/budget.py
+++ b/celeryturn/decisions/budget.py
@@ -3,7 +3,8 @@
 from typing import Final
 
 FIRST_TOKENS: Final = 4.0
-MOST_TOKENS: Final = 64.0
+MOST_TOKENS: Final = 4.0
+RETRY_RESERVE: Final = 2.0
 
 
 class Budget:
@@ -34,25 +35,25 @@
     budget.tokens = min(MOST_TOKENS, earned)
 
 
-def owe(budget: Budget) -> None:
-    """Take a token for an extra sub-request that cannot be done without.
+def owe(budget: Budget, extra_count: int) -> None:
+    """Take tokens for extra sub-requests that cannot be done without.
 
     :param budget: The bucket of one service; it may fall below zero, and
         then nothing more is spent until needed sub-requests have earned it.
+    :param extra_count: How many are sent.
     """
-    budget.tokens -= 1
-    budget.extra_count += 1
+    budget.tokens -= extra_count
+    budget.extra_count += extra_count
 
 
-def spend(budget: Budget, extra_count: int = 1) -> bool:
-    """Take tokens for extra sub-requests, all or none.
+def spend(budget: Budget, reserve: float = 0) -> bool:
+    """Take a token for one extra sub-request.
 
     :param budget: The bucket of one service.
-    :param extra_count: How many are to be sent.
-    :returns: Whether they may be sent.
+    :param reserve: Tokens that must be left after it.
+    :returns: Whether it may be sent.
     """
-    if budget.tokens < extra_count:
+    if budget.tokens < 1 + reserve:
         return False
-    budget.tokens -= extra_count
-    budget.extra_count += extra_count
+    owe(budget, 1)
     return True
--- a/celeryturn/decisions/hedging.py
+++ b/celeryturn/decisions/hedging.py
@@ -7,8 +7,9 @@
 from celeryturn.decisions.stopping import answer_due_seconds, early_stop_seconds
 
 HEDGE_PERCENTILE: Final = 95.0
+HEDGE_FACTOR: Final = 1.25
 HEDGE_FLOOR_SECONDS: Final = 0.002
-HEDGE_DEFAULT_SECONDS: Final = 0.05
+HEDGE_DEFAULT_SECONDS: Final = 0.04
 STARVED_RETRY_SECONDS: Final = 0.02
 
 
@@ -38,7 +39,7 @@
         context.now_seconds,
         HEDGE_DEFAULT_SECONDS,
     )
-    return max(HEDGE_FLOOR_SECONDS, observed_seconds)
+    return max(HEDGE_FLOOR_SECONDS, HEDGE_FACTOR * observed_seconds)
 
 
 def next_wake_seconds(query: QueryState, context: Context) -> float:
--- a/celeryturn/decisions/query.py
+++ b/celeryturn/decisions/query.py
@@ -101,7 +101,7 @@
         actions.extend(_send_held(query, context))
     if not progress.attempts:
         actions.extend(_retry(query, shard, context))
-    return _conclude(query, context, actions) if actions else []
+    return _conclude(query, context, actions)
 
 
 def on_wake(query: QueryState, context: Context) -> Actions:
@@ -223,7 +223,9 @@
 
 def _send_extra(query: QueryState, shard: str, context: Context) -> Actions:
     target = _best_untried(query, shard, context)
-    if target is None or not budget.spend(context.budget):
+    # A retry saves coverage, a hedge only time: some tokens are kept for it.
+    reserve = budget.RETRY_RESERVE
+    if target is None or not budget.spend(context.budget, reserve):
         return []
     return [_send(query, shard, target, context)]
 
--- a/celeryturn/decisions/snapshots.py
+++ b/celeryturn/decisions/snapshots.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import Final
 
-from celeryturn.decisions.budget import owe, spend
+from celeryturn.decisions.budget import owe
 from celeryturn.decisions.course import Context, Failure, QueryState
 from celeryturn.decisions.planning import holds
 
@@ -19,7 +19,7 @@
         is asked first.
     """
     if query.is_scouting:
-        owe(context.budget)
+        owe(context.budget, 1)
         return True
     if query.is_restarted:
         return False
@@ -30,7 +30,10 @@
     )
     if gone_count < max(1, RESTART_SHARE * shard_count):
         return False
-    return spend(context.budget, shard_count)
+    if context.budget.tokens < 1:
+        return False
+    owe(context.budget, shard_count)
+    return True
 
 
 def other_snapshot(query: QueryState, context: Context) -> int:
--- a/celeryturn/decisions/views.py
+++ b/celeryturn/decisions/views.py
@@ -5,7 +5,7 @@
 from celeryturn.decisions.limits import Gate
 
 SMOOTHING: Final = 0.2
-EJECT_AFTER_FAILURES: Final = 3
+EJECT_AFTER_FAILURES: Final = 2
 EJECT_SECONDS: Final = 5.0
 SLOW_START_SECONDS: Final = 3.0
 UNKNOWN_LATENCY_SECONDS: Final = 0.005
--- a/celeryturn/queries/read.py
+++ b/celeryturn/queries/read.py
@@ -1,6 +1,7 @@
 """Search, quick-check and record read."""
 
 from celeryturn.decisions import fleet
+from celeryturn.decisions.admission import is_hopeless
 from celeryturn.decisions.messages import QueryAnswer
 from celeryturn.decisions.planning import Ask, QueryKind, QueryPlan, plan_query
 from celeryturn.errors import CeleryturnError, Kind
@@ -37,7 +38,12 @@
     """
     service = service_of(instance, ask.service)
     await wait_for_scout(instance, ask.service)
-    runner = Runner(instance, links, service, plan(instance, ask))
+    planned = plan(instance, ask)
+    if is_hopeless(planned, service.views, planned.started_seconds):
+        raise CeleryturnError(
+            Kind.OVERLOADED, 'too much waits for it to be answered in time'
+        )
+    runner = Runner(instance, links, service, planned)
     answer = await run_query(runner)
     count_answer(instance.metrics, answer)
     if ask.kind is QueryKind.RECORD:
--- a/celeryturn/queries/runner.py
+++ b/celeryturn/queries/runner.py
@@ -169,7 +169,7 @@
     if view is not None:
         _note_report(runner, attempt.target, reply.report)
         views.observe_reply(view, taken_seconds, reply.report, now_seconds)
-        limits.on_success(view.gate)
+        limits.on_reply(view.gate, taken_seconds, now_seconds)
     latency.record(runner.service.window, taken_seconds, now_seconds)
     asked_for = (runner.state.plan.ask.service, attempt.shard)
     if (reply.service, reply.shard) != asked_for:
--- a/tests/decisions/targets.feature
+++ b/tests/decisions/targets.feature
@@ -15,6 +15,11 @@
     When 6 seconds pass for the targets
     Then "a" may be ranked first again
 
+  Scenario: Where all fail alike none is held back
+    Given targets "a b c" of which "a b c" failed 3 times
+    Then "a" may be ranked first again
+    And "b" may be ranked first again
+
   Scenario: One that stays silent is learned from though it never replies
     Given targets "a b c" of which "c" stayed silent for 2 seconds
     Then "c" is ranked last
@@ -46,6 +51,30 @@
     When 200 replies come
     Then its limit is 8
 
+  Scenario: A target that begins to queue gets less, before it sheds
+    Given a gate with a share of 8
+    When 50 replies come after 0.010 seconds each
+    Then its limit is 8
+    When 30 replies come after 0.050 seconds each
+    Then its limit is 1
+    When 100 replies come after 0.010 seconds each
+    Then its limit is 8
+
+  Scenario: A sweep has its turn after every urgent request
+    Given a gate with a share of 1
+    When 1 urgent request is offered
+    And 3 sweep requests are offered
+    And 12 urgent requests are offered
+    And 6 end one after the other
+    Then the turns were "urgent sweep urgent sweep urgent sweep"
+
+  Scenario: What would wait too long is refused at once
+    Given a gate with a share of 1
+    When 50 replies come after 0.100 seconds each
+    And 11 urgent requests are offered
+    Then a booking with 2 seconds left is hopeless
+    But a booking with 3 seconds left is not
+
   Scenario: The line before a target is bounded
     Given a gate with a share of 1
     When 300 sweep requests are offered
