--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: run run-redda test lint check-tests check-deep slopes bench clean
+.PHONY: run run-redda test lint check-tests check-deep fuzz slopes bench clean
 
 run: $(STAMP)
 	$(BIN)/python -m examples.run --user consorcio
@@ -27,6 +27,9 @@
 	$(BIN)/pip install --quiet --disable-pip-version-check --editable '.[dev]'
 	touch $@
 
+fuzz: $(STAMP)
+	FUZZ_EXAMPLES=$(or $(EXAMPLES),20000) $(BIN)/python -m tests.run tests/decoders.feature
+
 slopes: $(STAMP)
 	$(BIN)/python -m bench.slopes
 
--- /dev/null
+++ b/tests/steps/decoders.py
@@ -0,0 +1,194 @@
+"""Steps that try decoders with generated input."""
+
+import copy
+import os
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from types import MappingProxyType
+from typing import Any
+
+import cbor2
+import msgspec
+import yaml
+from behave import then
+from behave.runner import Context
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from celeryturn.decisions.document import Index, parse_document, shard_of
+from celeryturn.decisions.membership import Member, Status
+from celeryturn.entry.bodies import BookBody, SearchBody, read_body
+from celeryturn.errors import CeleryturnError
+from celeryturn.http.messages import HttpRequest
+from celeryturn.peers import messages
+from celeryturn.schema import decode
+from celeryturn.settings import parse_settings
+from tests.support.documents import raw_document
+
+EXAMPLES = int(os.environ.get('FUZZ_EXAMPLES', '150'))
+IS_SEEDED = 'FUZZ_EXAMPLES' not in os.environ
+CODES = ('CT-101', 'CT-401', 'CT-402', 'CT-501', 'CT-502')
+
+_scalars = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(),
+    st.floats(allow_nan=False, allow_infinity=False),
+    st.text(max_size=20),
+)
+_anything = st.recursive(
+    _scalars,
+    lambda inner: st.one_of(
+        st.lists(inner, max_size=4),
+        st.dictionaries(st.text(max_size=12), inner, max_size=4),
+    ),
+    max_leaves=12,
+)
+_tried = settings(
+    max_examples=EXAMPLES,
+    derandomize=IS_SEEDED,
+    database=None,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def _read_bodies(raw: object) -> None:
+    encoded = raw if isinstance(raw, bytes) else msgspec.json.encode(raw)
+    for shape in (SearchBody, BookBody):
+        read_body(shape, HttpRequest('POST', '/', body=encoded))
+
+
+def _read_message(raw: object) -> None:
+    messages.unpack(raw if isinstance(raw, bytes) else cbor2.dumps(raw))
+
+
+def _read_document(raw: object) -> None:
+    encoded = raw if isinstance(raw, bytes) else msgspec.json.encode(raw)
+    parse_document(encoded)
+
+
+def _read_settings(raw: object) -> None:
+    parse_settings(raw, 'generated')
+
+
+DECODERS: Mapping[str, Callable[[object], None]] = MappingProxyType(
+    {
+        'request bodies': _read_bodies,
+        'peer messages': _read_message,
+        'configuration': _read_document,
+        'settings': _read_settings,
+    }
+)
+
+
+@then('the decoder of {what} takes any input or refuses it with its code')
+def try_anything(context: Context, what: str) -> None:
+    """Try input of any kind."""
+    decoder = DECODERS[what]
+
+    @_tried
+    @given(st.one_of(_anything, st.binary(max_size=60)))
+    def attempt(raw: object) -> None:
+        _expect_typed(decoder, raw)
+
+    attempt()
+
+
+@then(
+    'the decoder of {what} takes valid input with any part replaced, or '
+    'refuses it with its code'
+)
+def try_replaced(context: Context, what: str) -> None:
+    """Try valid input in which one part is something else."""
+    decoder = DECODERS[what]
+    valid = _valid(what)
+    paths = list(_paths(valid))
+
+    @_tried
+    @given(st.sampled_from(paths), _anything)
+    def attempt(path: tuple[Any, ...], part: object) -> None:
+        _expect_typed(decoder, _replaced(valid, path, part))
+
+    attempt()
+
+
+@then('every peer message comes back as it was')
+def try_round_trip(context: Context) -> None:
+    """Pack and unpack."""
+    members = st.builds(
+        Member,
+        st.text(max_size=10),
+        st.just('127.0.0.1'),
+        st.integers(1, 65535),
+        st.integers(1, 65535),
+        st.text(max_size=10),
+        st.integers(0, 2**60),
+        st.sampled_from(Status),
+    )
+    any_message = st.one_of(
+        st.builds(messages.Ping, st.floats(allow_nan=False)),
+        st.builds(messages.Document, st.binary(max_size=50)),
+        st.builds(messages.Members, st.lists(members, max_size=5).map(tuple)),
+    )
+
+    @_tried
+    @given(any_message)
+    def attempt(message: messages.Message) -> None:
+        assert messages.unpack(messages.pack(message)) == message
+
+    attempt()
+
+
+@then('any key stands in exactly one shard of any valid map')
+def try_keys(context: Context) -> None:
+    """Look keys up."""
+
+    @_tried
+    @given(st.integers(1, 300), st.text(max_size=30))
+    def attempt(shard_count: int, key: str) -> None:
+        raw = raw_document(shard_count=shard_count, replica_count=1)
+        index = decode(Index, raw['indexes'][0]).shape
+        assert index is not None
+        assert shard_of(index, key) in index.shards
+        assert shard_of(index, key) == shard_of(index, f'{key}/more')
+
+    attempt()
+
+
+def _expect_typed(decoder: Callable[[object], None], raw: object) -> None:
+    try:
+        decoder(raw)
+    except CeleryturnError as error:
+        assert error.answer.code in CODES, error
+
+
+def _valid(what: str) -> Any:
+    if what == 'configuration':
+        return raw_document(shard_count=2, replica_count=2)
+    if what == 'settings':
+        path = Path('examples/settings-consorcio.yaml')
+        return yaml.safe_load(path.read_text(encoding='utf-8'))
+    member = Member('i', '127.0.0.1', 1, 2, 'zone', 1, Status.ALIVE)
+    return cbor2.loads(messages.pack(messages.Members((member,))))
+
+
+def _paths(part: Any, path: tuple[Any, ...] = ()) -> Any:
+    yield path
+    if isinstance(part, dict):
+        for name, inner in part.items():
+            yield from _paths(inner, (*path, name))
+    elif isinstance(part, list):
+        for place, inner in enumerate(part):
+            yield from _paths(inner, (*path, place))
+
+
+def _replaced(valid: Any, path: tuple[Any, ...], part: object) -> object:
+    if not path:
+        return part
+    changed = copy.deepcopy(valid)
+    place = changed
+    for step in path[:-1]:
+        place = place[step]
+    place[path[-1]] = part
+    return changed
