One reading route, one link module, one fit

Behaviour is the same. After: the scenarios on requests, answers, peers, bookings and processes pass as before.

--- a/bench/fit.py
+++ b/bench/fit.py
@@ -37,7 +37,7 @@
     :returns: Processor seconds a unit.
     """
     works = [(size, make_work(size)) for size in sizes]
-    return _fit(
+    return fit_lines(
         [
             [(size, _seconds(work)) for size, work in works]
             for _ in range(REPEATS)
@@ -54,12 +54,17 @@
     :param sizes: Sizes, at least two.
     :returns: Bytes a unit.
     """
-    return _fit(
+    return fit_lines(
         [[(size, _bytes(make_state, size)) for size in sizes] for _ in range(2)]
     )
 
 
-def _fit(rounds: list[list[tuple[int, float]]]) -> Slope:
+def fit_lines(rounds: list[list[tuple[int, float]]]) -> Slope:
+    """Fit a line through each round's points.
+
+    :param rounds: Sizes with their costs, a list a round.
+    :returns: The median of the slopes, with the least and the most.
+    """
     lines = [
         statistics.linear_regression(*zip(*points, strict=True))
         for points in rounds
--- a/bench/path.py
+++ b/bench/path.py
@@ -1,7 +1,6 @@
 """The whole path of a sub-request over real connections, one process a side."""
 
 import asyncio
-import statistics
 import subprocess  # noqa: S404
 import sys
 import tempfile
@@ -12,7 +11,7 @@
 import msgspec
 import yaml
 
-from bench.fit import Slope
+from bench.fit import Slope, fit_lines
 from celeryturn.decisions import fleet
 from celeryturn.decisions.document import parse_document
 from celeryturn.decisions.planning import Ask, QueryKind
@@ -67,21 +66,15 @@
     instance.is_ready = True
     links = Links(loop.time, 1)
     await _seconds(instance, links, SIZES[-1], WARM_QUERIES)
-    lines = [
-        statistics.linear_regression(
-            SIZES,
-            [await _seconds(instance, links, size, QUERIES) for size in SIZES],
-        )
+    rounds = [
+        [
+            (size, await _seconds(instance, links, size, QUERIES))
+            for size in SIZES
+        ]
         for _ in range(REPEATS)
     ]
     await close_links(links)
-    slopes = [line.slope for line in lines]
-    return Slope(
-        statistics.median(slopes),
-        min(slopes),
-        max(slopes),
-        statistics.median(line.intercept for line in lines),
-    )
+    return fit_lines(rounds)
 
 
 async def _seconds(
--- a/celeryturn/cli.py
+++ b/celeryturn/cli.py
@@ -63,8 +63,7 @@
         'limit_count': limit,
         'deadline_seconds': deadline_seconds,
     }
-    answer = _ask(at, 'POST', '/v1/search', body)
-    return _show(answer, tables.answer_text, json)
+    return _read(at, '/v1/search', body, json)
 
 
 def quickcheck(
@@ -87,8 +86,7 @@
         'site': str(site),
         'deadline_seconds': deadline_seconds,
     }
-    answer = _ask(at, 'POST', '/v1/quickcheck', body)
-    return _show(answer, tables.answer_text, json)
+    return _read(at, '/v1/quickcheck', body, json)
 
 
 def record(
@@ -111,8 +109,7 @@
         'key': str(key),
         'deadline_seconds': deadline_seconds,
     }
-    answer = _ask(at, 'POST', '/v1/record', body)
-    return _show(answer, tables.answer_text, json)
+    return _read(at, '/v1/record', body, json)
 
 
 def book(
@@ -244,6 +241,11 @@
         sys.exit(1)
 
 
+def _read(at: str, url: str, body: object, as_json: bool) -> str:
+    answer = _ask(at, 'POST', url, body)
+    return _show(answer, tables.answer_text, as_json)
+
+
 def _ask(at: str, method: str, url: str, body: object = None) -> Any:
     return asyncio.run(ask(at, method, url, body))
 
--- a/celeryturn/entry/bodies.py
+++ b/celeryturn/entry/bodies.py
@@ -129,15 +129,7 @@
     :returns: The question.
     :raises CeleryturnError: ``deadline_passed``.
     """
-    return Ask(
-        QueryKind.QUICKCHECK,
-        body.service,
-        key=body.site,
-        text='',
-        shards=(),
-        limit_count=1,
-        deadline_seconds=_ahead(body.deadline_seconds),
-    )
+    return _single_ask(QueryKind.QUICKCHECK, body, body.site)
 
 
 def record_ask(body: RecordBody) -> Ask:
@@ -147,15 +139,7 @@
     :returns: The question.
     :raises CeleryturnError: ``deadline_passed``.
     """
-    return Ask(
-        QueryKind.RECORD,
-        body.service,
-        key=body.key,
-        text='',
-        shards=(),
-        limit_count=1,
-        deadline_seconds=_ahead(body.deadline_seconds),
-    )
+    return _single_ask(QueryKind.RECORD, body, body.key)
 
 
 def booking_ask(body: BookBody) -> BookingAsk:
@@ -191,6 +175,20 @@
     )
 
 
+def _single_ask(
+    kind: QueryKind, body: QuickcheckBody | RecordBody, key: str
+) -> Ask:
+    return Ask(
+        kind,
+        body.service,
+        key=key,
+        text='',
+        shards=(),
+        limit_count=1,
+        deadline_seconds=_ahead(body.deadline_seconds),
+    )
+
+
 def _ahead(deadline_seconds: float) -> float:
     if deadline_seconds <= 0:
         raise CeleryturnError(
--- a/celeryturn/entry/routes.py
+++ b/celeryturn/entry/routes.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Awaitable, Callable, Mapping
 from types import MappingProxyType
-from typing import Final, NamedTuple, TypeAlias
+from typing import Final, NamedTuple, TypeAlias, TypeVar
 
 from celeryturn.commands.book import book
 from celeryturn.decisions.advice import advise
+from celeryturn.decisions.planning import Ask
 from celeryturn.entry import bodies
 from celeryturn.entry.levels import set_levels
 from celeryturn.entry.refusals import refusal_reply
@@ -25,6 +26,8 @@
 from celeryturn.queries.read import read as read_query
 from celeryturn.targets.links import Links
 
+BodyT = TypeVar('BodyT')
+
 OK: Final = 200
 ACCEPTED: Final = 202
 
@@ -85,27 +88,17 @@
     return route
 
 
-async def _search(entry: Entry, request: HttpRequest) -> HttpReply:
-    body = bodies.read_body(bodies.SearchBody, request)
-    ask = bodies.search_ask(body)
-    return json_reply(OK, await read_query(entry.instance, entry.links, ask))
-
-
-async def _quickcheck(entry: Entry, request: HttpRequest) -> HttpReply:
-    body = bodies.read_body(bodies.QuickcheckBody, request)
-    ask = bodies.quickcheck_ask(body)
-    return json_reply(OK, await read_query(entry.instance, entry.links, ask))
+def _reading(shape: type[BodyT], make_ask: Callable[[BodyT], Ask]) -> Route:
+    async def route(entry: Entry, request: HttpRequest) -> HttpReply:
+        ask = make_ask(bodies.read_body(shape, request))
+        answer = await read_query(entry.instance, entry.links, ask)
+        return json_reply(OK, answer)
 
-
-async def _record(entry: Entry, request: HttpRequest) -> HttpReply:
-    body = bodies.read_body(bodies.RecordBody, request)
-    ask = bodies.record_ask(body)
-    return json_reply(OK, await read_query(entry.instance, entry.links, ask))
+    return route
 
 
 async def _book(entry: Entry, request: HttpRequest) -> HttpReply:
-    body = bodies.read_body(bodies.BookBody, request)
-    ask = bodies.booking_ask(body)
+    ask = bodies.booking_ask(bodies.read_body(bodies.BookBody, request))
     return json_reply(OK, await book(entry.instance, entry.links, ask))
 
 
@@ -157,9 +150,11 @@
 
 _ROUTES: Final[Mapping[tuple[str, str], Route]] = MappingProxyType(
     {
-        ('POST', '/v1/search'): _search,
-        ('POST', '/v1/quickcheck'): _quickcheck,
-        ('POST', '/v1/record'): _record,
+        ('POST', '/v1/search'): _reading(bodies.SearchBody, bodies.search_ask),
+        ('POST', '/v1/quickcheck'): _reading(
+            bodies.QuickcheckBody, bodies.quickcheck_ask
+        ),
+        ('POST', '/v1/record'): _reading(bodies.RecordBody, bodies.record_ask),
         ('POST', '/v1/book'): _book,
         ('GET', '/v1/addresses'): _addresses,
         ('GET', '/v1/state'): _state,
--- /dev/null
+++ b/celeryturn/peers/links.py
@@ -0,0 +1,60 @@
+"""One link to another instance, and the queue of what is to be sent."""
+
+import asyncio
+from typing import Final, TypeAlias
+
+from websockets.asyncio.client import ClientConnection
+from websockets.asyncio.server import ServerConnection
+from websockets.exceptions import WebSocketException
+
+from celeryturn.peers import messages
+
+Socket: TypeAlias = ClientConnection | ServerConnection
+
+MOST_QUEUED: Final = 1024
+
+
+class PeerLink:
+    """One link.
+
+    :param socket: The websocket.
+    :param instance: Name of the peer, once it has said hello.
+    :param is_dialled: Whether this instance opened it, and so asks on it.
+    :param queue: Messages to be sent, oldest first.
+    """
+
+    __slots__ = ('instance', 'is_dialled', 'queue', 'socket')
+
+    def __init__(self, socket: Socket, instance: str = '') -> None:
+        self.socket = socket
+        self.is_dialled = bool(instance)
+        self.instance = instance
+        self.queue: asyncio.Queue[messages.Message] = asyncio.Queue(MOST_QUEUED)
+
+
+def put(link: PeerLink, message: messages.Message) -> None:
+    """Queue a message; a link that cannot keep up is closed.
+
+    :param link: The link.
+    :param message: The message.
+    """
+    try:
+        link.queue.put_nowait(message)
+    except asyncio.QueueFull:
+        link.socket.transport.abort()
+
+
+async def write_queue(link: PeerLink) -> None:
+    """Send what is queued, until cancelled or the link breaks.
+
+    :param link: The link.
+    """
+    while True:
+        message = await link.queue.get()
+        try:
+            await link.socket.send(messages.pack(message))
+        except (OSError, WebSocketException):
+            link.socket.transport.abort()
+            return
+        finally:
+            link.queue.task_done()
--- a/celeryturn/peers/network.py
+++ b/celeryturn/peers/network.py
@@ -2,10 +2,10 @@
 
 import asyncio
 from collections.abc import Iterable
-from typing import Final, TypeAlias
+from typing import Final
 
-from websockets.asyncio.client import ClientConnection, connect
-from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import Server, serve
 from websockets.exceptions import WebSocketException
 
 from celeryturn.decisions import membership
@@ -20,33 +20,13 @@
 )
 from celeryturn.peers import messages
 from celeryturn.peers.dialogue import reply_to
+from celeryturn.peers.links import PeerLink, put, write_queue
 from celeryturn.platform.watcher import share_anew
 
-Socket: TypeAlias = ClientConnection | ServerConnection
-
-MOST_QUEUED: Final = 1024
 DIAL_SECONDS: Final = 2.0
 IDLE_SECONDS: Final = 10.0
 
 
-class PeerLink:
-    """One link.
-
-    :param socket: The websocket.
-    :param instance: Name of the peer, once it has said hello.
-    :param is_dialled: Whether this instance opened it, and so asks on it.
-    :param queue: Messages to be sent, oldest first.
-    """
-
-    __slots__ = ('instance', 'is_dialled', 'queue', 'socket')
-
-    def __init__(self, socket: Socket, instance: str = '') -> None:
-        self.socket = socket
-        self.is_dialled = bool(instance)
-        self.instance = instance
-        self.queue: asyncio.Queue[messages.Message] = asyncio.Queue(MOST_QUEUED)
-
-
 class Network:
     """All links of an instance.
 
@@ -179,18 +159,6 @@
         broadcast(network, messages.Members(tuple(changed)), but)
 
 
-def put(link: PeerLink, message: messages.Message) -> None:
-    """Queue a message; a link that cannot keep up is closed.
-
-    :param link: The link.
-    :param message: The message.
-    """
-    try:
-        link.queue.put_nowait(message)
-    except asyncio.QueueFull:
-        link.socket.transport.abort()
-
-
 async def close_network(network: Network) -> None:
     """Close every link.
 
@@ -271,7 +239,7 @@
 async def _run_link(network: Network, link: PeerLink) -> None:
     instance = network.instance
     network.links.add(link)
-    writer = asyncio.get_running_loop().create_task(_write(link))
+    writer = asyncio.get_running_loop().create_task(write_queue(link))
     put(link, messages.Hello(instance.settings.instance))
     known = tuple(instance.membership.members.values())
     put(link, messages.Members(known))
@@ -287,18 +255,6 @@
         network.links.discard(link)
 
 
-async def _write(link: PeerLink) -> None:
-    while True:
-        message = await link.queue.get()
-        try:
-            await link.socket.send(messages.pack(message))
-        except (OSError, WebSocketException):
-            link.socket.transport.abort()
-            return
-        finally:
-            link.queue.task_done()
-
-
 async def _read(network: Network, link: PeerLink) -> None:
     while True:
         async with asyncio.timeout(IDLE_SECONDS):
