Bounds on what is sent ahead and on replies; shortage looked at a few times a second

Cause: reading the shell as a newcomer would: a caller could send without end while its request was answered, a target could reply without end, and every reply looked at every target of its service to see whether slots are short. Change: what is sent ahead is bounded by the size of a body, a reply by 4 MB; shortage is looked at when a hedge could be sent, and kept for 50 ms. One scenario more.

--- a/celeryturn/decisions/fleet.py
+++ b/celeryturn/decisions/fleet.py
@@ -1,6 +1,6 @@
 """Everything one instance holds about one service, and how it changes."""
 
-from typing import Final
+from typing import Final, NamedTuple
 
 from celeryturn.decisions.budget import Budget
 from celeryturn.decisions.document import (
@@ -19,9 +19,21 @@
 )
 
 SNAPSHOT_REFRESH_SECONDS: Final = 0.1
+SHORTAGE_REFRESH_SECONDS: Final = 0.05
 SHORT_SHARE: Final = 1 / 3
 
 
+class Shortage(NamedTuple):
+    """Whether slots were short when that was last looked at.
+
+    :param is_short: Whether they were.
+    :param due_seconds: When to look anew.
+    """
+
+    is_short: bool = False
+    due_seconds: float = 0.0
+
+
 class ServiceState:
     """State of one service at one instance.
 
@@ -31,11 +43,13 @@
     :param window: Observed latencies.
     :param snapshot: The snapshot that new queries read.
     :param snapshot_due_seconds: When to choose the snapshot anew.
+    :param shortage: Whether slots are short.
     """
 
     __slots__ = (
         'budget',
         'published',
+        'shortage',
         'snapshot',
         'snapshot_due_seconds',
         'views',
@@ -49,6 +63,7 @@
         self.window = LatencyWindow(now_seconds)
         self.snapshot = SnapshotChoice(0, is_guess=True)
         self.snapshot_due_seconds = 0.0
+        self.shortage = Shortage()
 
     @property
     def document(self) -> ServiceDocument:
@@ -112,15 +127,22 @@
     return service.snapshot
 
 
-def is_short(service: ServiceState) -> bool:
+def is_short(service: ServiceState, now_seconds: float) -> bool:
     """Tell whether the service's targets are short of slots.
 
     :param service: State of the service.
+    :param now_seconds: Time of the question; it is looked at anew only a few
+        times a second, since every target has to be.
     :returns: Whether sub-requests are held back at many of them.
     """
-    views = service.views.values()
-    crowded_count = sum(waiting_count(view.gate) > 0 for view in views)
-    return crowded_count > SHORT_SHARE * len(service.views)
+    shortage = service.shortage
+    if now_seconds >= shortage.due_seconds:
+        views = service.views.values()
+        crowded_count = sum(waiting_count(view.gate) > 0 for view in views)
+        is_found = crowded_count > SHORT_SHARE * len(service.views)
+        shortage = Shortage(is_found, now_seconds + SHORTAGE_REFRESH_SECONDS)
+        service.shortage = shortage
+    return shortage.is_short
 
 
 def _apply_target(
--- a/celeryturn/http/client.py
+++ b/celeryturn/http/client.py
@@ -12,6 +12,7 @@
 OnDone: TypeAlias = Callable[[HttpReply | Exception], None]
 
 CLOSE_SECONDS: Final = 1.0
+MAX_REPLY_BYTES: Final = 4_000_000
 
 
 class ExchangeError(ConnectionError):
@@ -34,6 +35,7 @@
         self._on_done: OnDone | None = None
         self._reply = HttpReply(0)
         self._parts: list[bytes] = []
+        self._size_bytes = 0
         self._timer = Timer()
         self._on_closed: Callable[[], None] | None = None
 
@@ -77,6 +79,7 @@
         """
         self._on_done = on_done
         self._parts.clear()
+        self._size_bytes = 0
         self.is_written = True
         if self._transport is not None:
             self._transport.write(self._serialize(request))
@@ -149,7 +152,7 @@
         if isinstance(event, h11.Response):
             self._begin_reply(event)
         elif isinstance(event, h11.Data):
-            self._parts.append(bytes(event.data))
+            return self._take_part(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self._finish_reply()
             return False
@@ -158,6 +161,14 @@
             return False
         return event is not h11.NEED_DATA and event is not h11.PAUSED
 
+    def _take_part(self, part: bytes) -> bool:
+        self._parts.append(part)
+        self._size_bytes += len(part)
+        if self._size_bytes <= MAX_REPLY_BYTES:
+            return True
+        self._fail(f'a reply may have {MAX_REPLY_BYTES} bytes')
+        return False
+
     def _begin_reply(self, event: h11.Response) -> None:
         headers = tuple(
             (name.decode('latin-1'), text.decode('latin-1'))
--- a/celeryturn/http/server.py
+++ b/celeryturn/http/server.py
@@ -136,6 +136,7 @@
         self._timer = Timer()
         self._request: HttpRequest | None = None
         self._parts: list[bytes] = []
+        self._ahead_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport and start to wait for a request."""
@@ -158,6 +159,8 @@
         if self._request is None and self.task is None:
             seconds = self._server.limits.request_seconds
             self._timer.arm(seconds, self._refuse_slow)
+        if self.task is not None and not self._may_send_ahead(chunk):
+            return
         self._machine.receive_data(chunk)
         self._pump()
 
@@ -171,6 +174,15 @@
         if self.task is None and self._request is None:
             self.close()
 
+    def _may_send_ahead(self, chunk: bytes) -> bool:
+        # Reading goes on while a request is answered, so that a caller that
+        # goes away is noticed; what it sends ahead is kept, up to a bound.
+        self._ahead_bytes += len(chunk)
+        is_allowed = self._ahead_bytes <= self._server.limits.body_bytes
+        if not is_allowed:
+            self.close()
+        return is_allowed
+
     def _pump(self) -> None:
         try:
             self._read_events()
@@ -234,6 +246,7 @@
             reply = self._server.refuser(error)
         self.task = None
         self._request = None
+        self._ahead_bytes = 0
         self._write_reply(reply, is_last=self._server.is_closing)
         self._go_on()
 
--- a/celeryturn/queries/runner.py
+++ b/celeryturn/queries/runner.py
@@ -73,7 +73,7 @@
     return merge(runner.state, runner.instance.clock())
 
 
-def _context(runner: Runner) -> course.Context:
+def _context(runner: Runner, *, is_short: bool = False) -> course.Context:
     service = runner.service
     instance = runner.instance
     return course.Context(
@@ -81,7 +81,7 @@
         zone=instance.settings.availability_zone,
         budget=service.budget,
         window=service.window,
-        is_short=fleet.is_short(service),
+        is_short=is_short,
         now_seconds=instance.clock(),
         random=instance.random,
     )
@@ -244,7 +244,11 @@
 
 
 def _on_wake(runner: Runner) -> None:
-    _apply(runner, query.on_wake(runner.state, _context(runner)))
+    # Only here a hedge may be sent, so only here a shortage matters.
+    now_seconds = runner.instance.clock()
+    is_short = fleet.is_short(runner.service, now_seconds)
+    context = _context(runner, is_short=is_short)
+    _apply(runner, query.on_wake(runner.state, context))
 
 
 def _close(runner: Runner) -> None:
--- a/tests/entry/requests.feature
+++ b/tests/entry/requests.feature
@@ -60,6 +60,12 @@
     When a caller sends two requests in one packet
     Then both are answered in order
 
+  Scenario: A caller that sends far ahead of its answer is cut off
+    Given every target takes 5 seconds
+    When a caller searches "reservas" and sends 100000 bytes ahead
+    Then the instance has no connection of callers left
+    And no sub-request is under way
+
   Scenario: A caller that goes away cancels its sub-requests
     Given every target takes 5 seconds
     When a caller searches "reservas" and goes away once 4 sub-requests are under way
--- a/tests/steps/requests.py
+++ b/tests/steps/requests.py
@@ -1,6 +1,7 @@
 """Steps in which callers make requests."""
 
 import asyncio
+import contextlib
 import random
 from typing import Any
 
@@ -205,6 +206,25 @@
     context.loop.run_until_complete(go())
 
 
+@when('a caller searches "{service}" and sends {size:d} bytes ahead')
+def send_ahead(context: Context, service: str, size: int) -> None:
+    """Send more while a request is answered."""
+
+    async def go() -> None:
+        reader, writer = await asyncio.open_connection(*context.world.place())
+        body = msgspec.json.encode({'service': service})
+        line = b'POST /v1/search HTTP/1.1\r\nhost: a\r\n'
+        length = b'content-length: %d\r\n\r\n' % len(body)
+        writer.write(b''.join((line, length, body)))
+        await until(lambda: _in_flight(_instance(context)) > 0)
+        writer.write(b'x' * size)
+        with contextlib.suppress(ConnectionError):
+            assert not await reader.read(-1)
+        writer.close()
+
+    context.loop.run_until_complete(go())
+
+
 @then('no sub-request is under way')
 def expect_idle(context: Context) -> None:
     """Expect that every sub-request was ended."""
