--- a/celeryturn/decisions/query.py
+++ b/celeryturn/decisions/query.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Iterable
 
-from celeryturn.decisions import budget, hedging, routing, snapshots
+from celeryturn.decisions import budget, hedging, routing, snapshots, views
 from celeryturn.decisions.course import (
     Action,
     Actions,
@@ -218,6 +218,9 @@
     is_free = progress.failure is Failure.NOT_SENT
     if is_free or budget.spend(context.budget):
         return [_send(query, shard, target, context)]
+    if views.is_ejected(context.views[target], context.now_seconds):
+        # The best that is left fails too: waiting for a token is no use.
+        _settle(query, progress)
     return []
 
 
--- a/celeryturn/decisions/routing.py
+++ b/celeryturn/decisions/routing.py
@@ -7,6 +7,7 @@
 from celeryturn.decisions.views import (
     SLOW_START_SECONDS,
     TargetView,
+    is_ejected,
     may_get_work,
 )
 
@@ -65,6 +66,6 @@
     age_seconds = now_seconds - health.returned_seconds
     if age_seconds < SLOW_START_SECONDS:
         waited_seconds *= 2 - age_seconds / SLOW_START_SECONDS
-    if now_seconds < health.ejected_until_seconds:
+    if is_ejected(view, now_seconds):
         waited_seconds *= EJECTED_FACTOR
     return waited_seconds
--- a/celeryturn/decisions/views.py
+++ b/celeryturn/decisions/views.py
@@ -139,6 +139,16 @@
         health.ejected_until_seconds = now_seconds + EJECT_SECONDS
 
 
+def is_ejected(view: TargetView, now_seconds: float) -> bool:
+    """Tell whether a target is ranked last for its failures.
+
+    :param view: The target.
+    :param now_seconds: Time of the question.
+    :returns: Whether its time is not over yet.
+    """
+    return now_seconds < view.health.ejected_until_seconds
+
+
 def observe_silence(view: TargetView, waited_seconds: float) -> None:
     """Learn from an attempt that was given up without a reply.
 
--- a/celeryturn/platform/watcher.py
+++ b/celeryturn/platform/watcher.py
@@ -15,7 +15,7 @@
 from celeryturn.platform import service
 
 FIRST_BACKOFF_SECONDS: Final = 0.2
-MOST_BACKOFF_SECONDS: Final = 5.0
+MOST_BACKOFF_SECONDS: Final = 1.0
 BACKOFF_FACTOR: Final = 2.0
 
 
--- a/tests/decisions/query.feature
+++ b/tests/decisions/query.feature
@@ -140,6 +140,14 @@
     Then 4 attempts were sent in all
     And the answer lacks s01 because of "lost"
 
+  Scenario: A shard whose replicas all fail is given up at once
+    Given the extra-load budget holds 0 tokens
+    And the targets "s01-0 s01-1 s01-2" have failed again and again
+    When a query begins with a deadline of 2 seconds
+    And every attempt but that of s01 is replied to
+    And the attempt of s01 fails as lost
+    Then the answer lacks s01 because of "lost"
+
   Scenario: What was never sent is tried elsewhere without budget
     Given the extra-load budget holds 0 tokens
     When a query begins with a deadline of 2 seconds
--- a/tests/steps/query.py
+++ b/tests/steps/query.py
@@ -7,7 +7,13 @@
 from celeryturn.decisions.course import Attempt
 from celeryturn.decisions.messages import Reply
 from celeryturn.decisions.planning import SnapshotChoice
-from celeryturn.decisions.views import Report, observe_leaving, observe_report
+from celeryturn.decisions.views import (
+    EJECT_AFTER_FAILURES,
+    Report,
+    observe_failure,
+    observe_leaving,
+    observe_report,
+)
 from tests.support.decided import DecidedQuery, record
 from tests.support.documents import raw_document
 
@@ -78,6 +84,14 @@
         observe_leaving(context.query.service.views[name], 0)
 
 
+@given('the targets "{names}" have failed again and again')
+def fail_often(context: Context, names: str) -> None:
+    """Let targets be ejected."""
+    for name in names.split() * EJECT_AFTER_FAILURES:
+        view = context.query.service.views[name]
+        observe_failure(view, context.query.now_seconds)
+
+
 @when('a query begins with a deadline of {seconds:g} seconds')
 def begin(context: Context, seconds: float) -> None:
     """Admit a query."""
