--- a/celeryturn/decisions/pace.py
+++ b/celeryturn/decisions/pace.py
@@ -41,6 +41,16 @@
         return 0 if least_seconds == UNKNOWN_SECONDS else least_seconds
 
 
+def smoothed(before_seconds: float, observed_seconds: float) -> float:
+    """Move a smoothed latency towards an observed one.
+
+    :param before_seconds: What it was.
+    :param observed_seconds: What was observed.
+    :returns: What it is now.
+    """
+    return before_seconds + SMOOTHING * (observed_seconds - before_seconds)
+
+
 def observe_pace(
     pace: Pace, latency_seconds: float, now_seconds: float
 ) -> None:
@@ -53,7 +63,7 @@
     pace.reply_count += 1
     if pace.reply_count == 1:
         pace.latency_seconds = latency_seconds
-    pace.latency_seconds += SMOOTHING * (latency_seconds - pace.latency_seconds)
+    pace.latency_seconds = smoothed(pace.latency_seconds, latency_seconds)
     if now_seconds - pace.opened_seconds > BASE_WINDOW_SECONDS:
         pace.earlier_seconds = pace.least_seconds
         pace.least_seconds = UNKNOWN_SECONDS
--- a/celeryturn/decisions/views.py
+++ b/celeryturn/decisions/views.py
@@ -3,8 +3,8 @@
 from typing import Final, NamedTuple
 
 from celeryturn.decisions.limits import Gate
+from celeryturn.decisions.pace import smoothed
 
-SMOOTHING: Final = 0.2
 EJECT_AFTER_FAILURES: Final = 2
 EJECT_SECONDS: Final = 5.0
 SLOW_START_SECONDS: Final = 3.0
@@ -93,9 +93,7 @@
         health.returned_seconds = now_seconds
     health.failure_count = 0
     health.ejected_until_seconds = 0
-    health.latency_seconds += SMOOTHING * (
-        latency_seconds - health.latency_seconds
-    )
+    health.latency_seconds = smoothed(health.latency_seconds, latency_seconds)
     observe_report(view, report, now_seconds)
 
 
@@ -157,8 +155,8 @@
     """
     health = view.health
     if waited_seconds > health.latency_seconds:
-        health.latency_seconds += SMOOTHING * (
-            waited_seconds - health.latency_seconds
+        health.latency_seconds = smoothed(
+            health.latency_seconds, waited_seconds
         )
 
 
--- a/celeryturn/http/client.py
+++ b/celeryturn/http/client.py
@@ -23,12 +23,10 @@
     """A client connection that is reused only after whole exchanges.
 
     :param is_open: Whether the transport is up.
-    :param is_written: Whether a byte of the current request was written.
     """
 
     def __init__(self, host: str) -> None:
         self.is_open = False
-        self.is_written = False
         self._host = host
         self._machine = h11.Connection(h11.CLIENT)
         self._transport: asyncio.Transport | None = None
@@ -80,7 +78,6 @@
         self._on_done = on_done
         self._parts.clear()
         self._size_bytes = 0
-        self.is_written = True
         if self._transport is not None:
             self._transport.write(self._serialize(request))
 
@@ -196,7 +193,6 @@
     def _end(self, outcome: HttpReply | Exception) -> None:
         on_done = self._on_done
         self._on_done = None
-        self.is_written = False
         if on_done is not None:
             on_done(outcome)
 
--- a/celeryturn/targets/wire.py
+++ b/celeryturn/targets/wire.py
@@ -16,7 +16,6 @@
 BOOK_PATH: Final = '/v1/book'
 HEALTH_PATH: Final = '/v1/health'
 OK: Final = 200
-CONFLICT: Final = 409
 
 
 class ReportBody(TypedDict, total=False):
--- a/standins/topology.py
+++ b/standins/topology.py
@@ -10,7 +10,6 @@
 from celeryturn.schema import decode
 from celeryturn.units import HASH_SLOTS
 
-REPLICA_COUNT: Final = 3
 SITES_PER_SHARD: Final = 8
 RECORDS_PER_SITE: Final = 3
 PLACES_COUNT: Final = 8
