--- a/celeryturn/decisions/advice.py
+++ b/celeryturn/decisions/advice.py
@@ -9,6 +9,7 @@
 
 ADVISED_COUNT: Final = 3
 LEAST_KEEP_SHARE: Final = 0.75
+ADVISED_ZONE_COUNT: Final = 64
 
 
 class Advice(NamedTuple):
@@ -55,3 +56,22 @@
 
 def _weight(caller: str, instance: str) -> int:
     return xxhash.xxh3_64_intdigest(f'{caller} {instance}'.encode())
+
+
+def advise_zone(members: Iterable[Member], zone: str) -> list[Member]:
+    """Choose the instances that callers of an availability zone use.
+
+    :param members: What is believed of each instance.
+    :param zone: Availability zone of the callers; may be unknown.
+    :returns: Live instances of the zone; those of all zones where it has
+        none, and suspects rather than nobody.
+    """
+    known = list(members)
+    alive = [member for member in known if member.status is Status.ALIVE]
+    near = [member for member in alive if member.availability_zone == zone]
+    if near:
+        return near[:ADVISED_ZONE_COUNT]
+    if alive:
+        return alive[:ADVISED_ZONE_COUNT]
+    suspects = [member for member in known if member.status is Status.SUSPECT]
+    return suspects[:ADVISED_ZONE_COUNT]
--- /dev/null
+++ b/celeryturn/decisions/directory.py
@@ -0,0 +1,184 @@
+"""Which targets there are, from a list that lags, lapses and may be wrong."""
+
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+from celeryturn.decisions.replicas import Replica, TargetEntry
+
+LAPSE_SECONDS: Final = 2.2
+MANY_REMOVALS: Final = 3
+MOST_TARGETS: Final = 8192
+
+
+class Directory:
+    """The targets that are believed to serve.
+
+    :param replicas: By service and target.
+    :param services: Service of each target.
+    :param lapsed: When each target whose entry went missing is dropped.
+    :param trusted_after_seconds: Before this time a missing entry may have
+        lapsed with the store, and be back.
+    """
+
+    __slots__ = ('lapsed', 'replicas', 'services', 'trusted_after_seconds')
+
+    def __init__(self) -> None:
+        self.replicas: dict[str, dict[str, Replica]] = {}
+        self.services: dict[str, str] = {}
+        self.lapsed: dict[str, float] = {}
+        self.trusted_after_seconds = 0.0
+
+
+def put_entry(
+    directory: Directory, entry: TargetEntry, now_seconds: float
+) -> None:
+    """Take in a target's entry.
+
+    A higher time of start means another incarnation: what was observed of
+    the former one is forgotten.
+
+    :param directory: The targets.
+    :param entry: The entry as it is now.
+    :param now_seconds: Time of reading.
+    """
+    known = find(directory, entry.target)
+    if known is not None and _is_older(entry, known.entry):
+        return
+    directory.lapsed.pop(entry.target, None)
+    if known is not None and _is_same(known.entry, entry):
+        known.entry = entry
+        return
+    drop(directory, entry.target)
+    if len(directory.services) < MOST_TARGETS:
+        replica = Replica(entry, now_seconds)
+        directory.services[entry.target] = entry.service
+        of_service = directory.replicas.setdefault(entry.service, {})
+        of_service[entry.target] = replica
+
+
+def drop(directory: Directory, target: str) -> None:
+    """Forget a target.
+
+    :param directory: The targets.
+    :param target: Its identifier.
+    """
+    directory.lapsed.pop(target, None)
+    service = directory.services.pop(target, None)
+    if service is not None:
+        directory.replicas[service].pop(target, None)
+        if not directory.replicas[service]:
+            directory.replicas.pop(service)
+
+
+def remove_entries(
+    directory: Directory, targets: Iterable[str], now_seconds: float
+) -> None:
+    """Take in that entries went missing.
+
+    Many at once, or some right after the store was away, may have lapsed
+    while their targets serve on: those are dropped only if they stay away.
+
+    :param directory: The targets.
+    :param targets: Identifiers whose entries went missing together.
+    :param now_seconds: Time of reading.
+    """
+    missing = [name for name in targets if name in directory.services]
+    abrupt = [name for name in missing if not _is_draining(directory, name)]
+    is_doubtful = (
+        len(abrupt) >= MANY_REMOVALS
+        or now_seconds < directory.trusted_after_seconds
+    )
+    for target in missing:
+        if is_doubtful and target in abrupt:
+            directory.lapsed.setdefault(target, now_seconds + LAPSE_SECONDS)
+        else:
+            drop(directory, target)
+
+
+def replace_all(
+    directory: Directory,
+    entries: Mapping[str, TargetEntry],
+    now_seconds: float,
+) -> None:
+    """Take in a whole list.
+
+    :param directory: The targets.
+    :param entries: All entries by target.
+    :param now_seconds: Time of reading.
+    """
+    for entry in entries.values():
+        put_entry(directory, entry, now_seconds)
+    missing = [name for name in directory.services if name not in entries]
+    remove_entries(directory, missing, now_seconds)
+
+
+def note_store_back(directory: Directory, now_seconds: float) -> None:
+    """Note that the store answers again after it was away.
+
+    :param directory: The targets.
+    :param now_seconds: Time of its first answer.
+    """
+    directory.trusted_after_seconds = now_seconds + LAPSE_SECONDS
+
+
+def expire(directory: Directory, now_seconds: float) -> list[str]:
+    """Drop targets whose entries stayed away.
+
+    :param directory: The targets.
+    :param now_seconds: Time of the question.
+    :returns: Which were dropped.
+    """
+    expired = [
+        target
+        for target, at_seconds in directory.lapsed.items()
+        if at_seconds <= now_seconds
+    ]
+    for target in expired:
+        drop(directory, target)
+    return expired
+
+
+def serving(directory: Directory, service: str) -> list[Replica]:
+    """List the targets of a service that may get work.
+
+    :param directory: The targets.
+    :param service: Name of the service.
+    :returns: Targets that are not draining.
+    """
+    known = directory.replicas.get(service)
+    if known is None:
+        return []
+    return [rep for rep in known.values() if not rep.entry.is_draining]
+
+
+def find(directory: Directory, target: str) -> Replica | None:
+    """Find a target by its identifier.
+
+    :param directory: The targets.
+    :param target: Its identifier.
+    :returns: The target, if it is known.
+    """
+    service = directory.services.get(target)
+    if service is None:
+        return None
+    return directory.replicas[service].get(target)
+
+
+def _is_draining(directory: Directory, target: str) -> bool:
+    known = find(directory, target)
+    return known is not None and known.entry.is_draining
+
+
+def _is_older(offered: TargetEntry, known: TargetEntry) -> bool:
+    if offered.born_ms != known.born_ms:
+        return offered.born_ms < known.born_ms
+    return offered.sequence < known.sequence
+
+
+def _is_same(known: TargetEntry, offered: TargetEntry) -> bool:
+    return (known.service, known.address, known.port, known.born_ms) == (
+        offered.service,
+        offered.address,
+        offered.port,
+        offered.born_ms,
+    )
--- a/celeryturn/decisions/membership.py
+++ b/celeryturn/decisions/membership.py
@@ -34,7 +34,7 @@
     {status: rank for rank, status in enumerate(Status)}
 )
 _STAYING: Final = frozenset((Status.LISTED, Status.ALIVE, Status.SUSPECT))
-_COUNTED: Final = frozenset(
+SHARING: Final = frozenset(
     (
         Status.LISTED,
         Status.ALIVE,
@@ -336,7 +336,7 @@
 
 def _update_peak(membership: Membership, now_seconds: float) -> None:
     count = sum(
-        member.status in _COUNTED for member in membership.members.values()
+        member.status in SHARING for member in membership.members.values()
     )
     is_over = now_seconds - membership.peak_seconds > PEAK_SECONDS
     if count >= membership.peak_count or is_over:
--- /dev/null
+++ b/celeryturn/decisions/replicas.py
@@ -0,0 +1,298 @@
+"""What is believed of each target, and which one to ask next."""
+
+import math
+from collections.abc import Iterable
+from typing import Final, NamedTuple
+
+SMOOTHING: Final = 0.25
+BELIEF_SECONDS: Final = 4.0
+LOAD_BELIEF_SECONDS: Final = 0.5
+LEAST_SLOWNESS: Final = 0.5
+MOST_SLOWNESS: Final = 40.0
+COLD_SLOWNESS: Final = 1.6
+FIRST_BLOCK_SECONDS: Final = 0.25
+MOST_BLOCK_SECONDS: Final = 2.0
+MOST_DOUBLINGS: Final = 4
+ZONE_PENALTY_SHARE: Final = 0.25
+STALL_PENALTY_SHARE: Final = 1.0
+FAILURE_PENALTY_SHARE: Final = 2.0
+JITTER: Final = 0.1
+
+
+class TargetEntry(NamedTuple):
+    """A target as the platform lists it.
+
+    :param target: Its identifier.
+    :param service: Service it belongs to.
+    :param address: IP address.
+    :param port: TCP port.
+    :param zone: Availability zone.
+    :param slot_count: Requests it works on at once.
+    :param is_draining: Whether it is about to leave.
+    :param cold_seconds: How long it stays slow after its start.
+    :param born_ms: Unix time of its start; tells incarnations apart.
+    :param sequence: Rises with each entry of one incarnation.
+    """
+
+    target: str
+    service: str
+    address: str
+    port: int
+    zone: str
+    slot_count: int
+    is_draining: bool
+    cold_seconds: float
+    born_ms: int
+    sequence: int
+
+
+class Load(NamedTuple):
+    """Load that a target reports.
+
+    :param running: Requests it works on.
+    :param waiting: Requests in its queue.
+    :param slots: Requests it can work on at once.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class Replica:
+    """One target with what was observed of it.
+
+    :param entry: The target as listed.
+    :param pending: When each request under way was sent, by its number.
+    :param slowness: Latency relative to the route's usual one.
+    :param observed_seconds: When the slowness was last observed.
+    :param failure_share: Smoothed share of requests that failed.
+    :param failed_seconds: When one failed last.
+    :param heard_seconds: When it last replied.
+    :param load: Load it last reported.
+    :param load_seconds: When it reported it.
+    :param blocked_until_seconds: No new request before this time.
+    :param refused_count: Failures to connect in a row.
+    """
+
+    __slots__ = (
+        'blocked_until_seconds',
+        'entry',
+        'failed_seconds',
+        'failure_share',
+        'heard_seconds',
+        'load',
+        'load_seconds',
+        'observed_seconds',
+        'pending',
+        'refused_count',
+        'slowness',
+    )
+
+    def __init__(self, entry: TargetEntry, now_seconds: float) -> None:
+        self.entry = entry
+        self.pending: dict[int, float] = {}
+        self.slowness = COLD_SLOWNESS if entry.cold_seconds else 1.0
+        self.observed_seconds = now_seconds + entry.cold_seconds
+        self.failure_share = 0.0
+        self.failed_seconds = 0.0
+        self.heard_seconds = 0.0
+        self.load = Load(0, 0, entry.slot_count)
+        self.load_seconds = 0.0
+        self.blocked_until_seconds = 0.0
+        self.refused_count = 0
+
+
+class Usual(NamedTuple):
+    """What is usual for a route's requests.
+
+    :param typical_seconds: Median latency of a target.
+    :param stall_seconds: Silence that suggests that a target stands still.
+    :param objective_seconds: Latency objective of the route.
+    """
+
+    typical_seconds: float
+    stall_seconds: float
+    objective_seconds: float
+
+
+def observe_latency(
+    replica: Replica, latency_seconds: float, usual: Usual, now_seconds: float
+) -> None:
+    """Learn from a whole reply.
+
+    :param replica: The target that replied.
+    :param latency_seconds: From send to whole reply.
+    :param usual: What is usual for the route.
+    :param now_seconds: Time of the reply.
+    """
+    replica.heard_seconds = now_seconds
+    replica.refused_count = 0
+    before = slowness_of(replica, now_seconds)
+    observed = latency_seconds / max(usual.typical_seconds, 1e-4)
+    bounded = min(max(observed, LEAST_SLOWNESS), MOST_SLOWNESS)
+    replica.slowness = before + SMOOTHING * (bounded - before)
+    replica.observed_seconds = now_seconds
+    _count_outcome(replica, 0, now_seconds)
+
+
+def observe_silence(
+    replica: Replica, waited_seconds: float, usual: Usual, now_seconds: float
+) -> None:
+    """Learn from a request that was given up without a reply.
+
+    :param replica: The target that stayed silent.
+    :param waited_seconds: From send until it was given up.
+    :param usual: What is usual for the route.
+    :param now_seconds: Time of giving up.
+    """
+    before = slowness_of(replica, now_seconds)
+    observed = waited_seconds / max(usual.typical_seconds, 1e-4)
+    if observed > before:
+        bounded = min(observed, MOST_SLOWNESS)
+        replica.slowness = before + SMOOTHING * (bounded - before)
+        replica.observed_seconds = now_seconds
+
+
+def observe_failure(replica: Replica, now_seconds: float) -> None:
+    """Learn from a failed request.
+
+    :param replica: The target that failed it.
+    :param now_seconds: Time of the failure.
+    """
+    _count_outcome(replica, 1, now_seconds)
+
+
+def observe_unreachable(replica: Replica, now_seconds: float) -> None:
+    """Learn that no connection could be opened.
+
+    :param replica: The target.
+    :param now_seconds: Time of the failure.
+    """
+    doublings = min(replica.refused_count, MOST_DOUBLINGS)
+    block_seconds = min(MOST_BLOCK_SECONDS, FIRST_BLOCK_SECONDS * 2**doublings)
+    replica.refused_count += 1
+    replica.blocked_until_seconds = now_seconds + block_seconds
+    _count_outcome(replica, 1, now_seconds)
+
+
+def observe_load(replica: Replica, load: Load, now_seconds: float) -> None:
+    """Take in the load a target reports.
+
+    :param replica: The target.
+    :param load: What it reports.
+    :param now_seconds: Time of the report.
+    """
+    replica.load = load
+    replica.load_seconds = now_seconds
+
+
+def slowness_of(replica: Replica, now_seconds: float) -> float:
+    """Tell how slow a target is believed to be; old beliefs fade.
+
+    :param replica: The target.
+    :param now_seconds: Time of the question.
+    :returns: Its latency relative to the usual one.
+    """
+    age_seconds = max(0.0, now_seconds - replica.observed_seconds)
+    faded = math.exp(-age_seconds / BELIEF_SECONDS)
+    return 1 + (replica.slowness - 1) * faded
+
+
+def is_stalled(replica: Replica, usual: Usual, now_seconds: float) -> bool:
+    """Tell whether a target seems to stand still.
+
+    :param replica: The target.
+    :param usual: What is usual for the route.
+    :param now_seconds: Time of the question.
+    :returns: Whether its oldest request got nothing for longer than usual.
+    """
+    oldest_seconds = next(iter(replica.pending.values()), None)
+    if oldest_seconds is None:
+        return False
+    since_seconds = max(oldest_seconds, replica.heard_seconds)
+    return now_seconds - since_seconds > usual.stall_seconds
+
+
+def expected_seconds(
+    replica: Replica, usual: Usual, now_seconds: float
+) -> float:
+    """Estimate how long a target would take for one more request.
+
+    :param replica: The target.
+    :param usual: What is usual for the route.
+    :param now_seconds: Time of the question.
+    :returns: Seconds until its reply.
+    """
+    slots = max(1, replica.load.slots)
+    ahead = len(replica.pending)
+    age_seconds = now_seconds - replica.load_seconds
+    if age_seconds < LOAD_BELIEF_SECONDS:
+        ahead = max(ahead, replica.load.running + replica.load.waiting)
+    queued = max(0, ahead + 1 - slots)
+    slowness = slowness_of(replica, now_seconds)
+    return usual.typical_seconds * slowness * (1 + queued / slots)
+
+
+def cost_seconds(
+    replica: Replica, usual: Usual, zone: str, now_seconds: float
+) -> float:
+    """Weigh a target: its expected latency and what speaks against it.
+
+    :param replica: The target.
+    :param usual: What is usual for the route.
+    :param zone: Availability zone of this instance.
+    :param now_seconds: Time of the question.
+    :returns: Comparable figure in seconds; the least is best.
+    """
+    penalty_share = 0.0
+    if replica.entry.zone != zone:
+        penalty_share += ZONE_PENALTY_SHARE
+    if is_stalled(replica, usual, now_seconds):
+        penalty_share += STALL_PENALTY_SHARE
+    if replica.failure_share:
+        age_seconds = now_seconds - replica.failed_seconds
+        faded = math.exp(-age_seconds / BELIEF_SECONDS)
+        penalty_share += FAILURE_PENALTY_SHARE * replica.failure_share * faded
+    expected = expected_seconds(replica, usual, now_seconds)
+    return expected + penalty_share * usual.objective_seconds
+
+
+def choose_replica(
+    replicas: Iterable[Replica],
+    usual: Usual,
+    zone: str,
+    now_seconds: float,
+    random: float,
+) -> Replica | None:
+    """Choose the target to ask next.
+
+    :param replicas: Candidates.
+    :param usual: What is usual for the route.
+    :param zone: Availability zone of this instance.
+    :param now_seconds: Time of the question.
+    :param random: Between 0 and 1; spreads instances that believe alike.
+    :returns: The best candidate, if there is one that may get work.
+    """
+    best: Replica | None = None
+    best_cost = math.inf
+    spread = random
+    for replica in replicas:
+        if replica.blocked_until_seconds > now_seconds:
+            continue
+        spread = (spread * 7.31 + 0.17) % 1
+        cost = cost_seconds(replica, usual, zone, now_seconds)
+        cost *= 1 + JITTER * spread
+        if cost < best_cost:
+            best = replica
+            best_cost = cost
+    return best
+
+
+def _count_outcome(
+    replica: Replica, outcome: int, now_seconds: float
+) -> None:
+    before = replica.failure_share
+    replica.failure_share = before + SMOOTHING * (outcome - before)
+    if outcome:
+        replica.failed_seconds = now_seconds
--- /dev/null
+++ b/celeryturn/decisions/sharded.py
@@ -0,0 +1,401 @@
+"""One request to the targets of one service, or of each shard.
+
+A request has a leg for each shard; a plain one has a single leg.  Events go
+in with the time they happened, actions come out.  Nothing here waits.
+"""
+
+from collections.abc import Callable, Sequence
+from typing import Final, NamedTuple, TypeAlias
+
+from celeryturn.decisions.replicas import Replica, Usual, choose_replica
+from celeryturn.decisions.replies import NOT_RUN, TargetReply, Verdict
+
+MOST_SENDS: Final = 4
+HEDGE_RESERVE: Final = 1.0
+
+
+class Plan(NamedTuple):
+    """What is pinned for a request when it is admitted.
+
+    :param services: Service of each leg.
+    :param least_count: Legs that must succeed.
+    :param is_idempotent: Whether a leg may run more than once.
+    :param attempt_limit: Most targets a leg may run on.
+    :param started_seconds: Time of admission.
+    :param due_seconds: An answer later than this is late.
+    :param deadline_seconds: An answer later than this is of no use.
+    """
+
+    services: tuple[str, ...]
+    least_count: int
+    is_idempotent: bool
+    attempt_limit: int
+    started_seconds: float
+    due_seconds: float
+    deadline_seconds: float
+
+
+class Attempt(NamedTuple):
+    """One send of a leg.
+
+    :param number: Identifies it within the request.
+    :param leg: Position of its leg.
+    :param replica: The target.
+    :param sent_seconds: When it was decided on.
+    """
+
+    number: int
+    leg: int
+    replica: Replica
+    sent_seconds: float
+
+
+class Send(NamedTuple):
+    """Send an attempt.
+
+    :param attempt: Which.
+    """
+
+    attempt: Attempt
+
+
+class Cancel(NamedTuple):
+    """Give an attempt up.
+
+    :param attempt: Which.
+    """
+
+    attempt: Attempt
+
+
+class Finish(NamedTuple):
+    """The request has its outcome."""
+
+
+class Wake(NamedTuple):
+    """Ask again at a time.
+
+    :param at_seconds: When.
+    """
+
+    at_seconds: float
+
+
+Action: TypeAlias = Send | Cancel | Finish | Wake
+Actions: TypeAlias = list[Action]
+
+
+class Leg:
+    """How far one leg has come.
+
+    :param attempts: Under way, by number.
+    :param tried: Targets that were asked.
+    :param run_count: Attempts that may have run and have ended.
+    :param reply: The reply that counts, a failure's while there is no other.
+    :param is_settled: Whether nothing more is sent for it.
+    :param last_verdict: Why the last attempt failed.
+    :param hedge_seconds: When a second target may be asked.
+    """
+
+    __slots__ = (
+        'attempts',
+        'hedge_seconds',
+        'is_settled',
+        'last_verdict',
+        'reply',
+        'run_count',
+        'tried',
+    )
+
+    def __init__(self) -> None:
+        self.attempts: dict[int, Attempt] = {}
+        self.tried: set[str] = set()
+        self.run_count = 0
+        self.reply: TargetReply | None = None
+        self.is_settled = False
+        self.last_verdict: Verdict | None = None
+        self.hedge_seconds = 0.0
+
+
+class Sharded:
+    """A request under way.
+
+    :param plan: What is pinned for it.
+    :param legs: One a service.
+    :param under_way: Leg of each attempt under way.
+    :param open_count: Legs that are not settled.
+    :param success_count: Legs that succeeded.
+    :param send_count: Attempts that were sent.
+    :param is_finished: Whether it has its outcome.
+    """
+
+    __slots__ = (
+        'is_finished',
+        'legs',
+        'open_count',
+        'plan',
+        'send_count',
+        'success_count',
+        'under_way',
+    )
+
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self.legs = [Leg() for _ in plan.services]
+        self.under_way: dict[int, int] = {}
+        self.open_count = len(self.legs)
+        self.success_count = 0
+        self.send_count = 0
+        self.is_finished = False
+
+
+class View(NamedTuple):
+    """What a decision may look at.
+
+    :param now_seconds: The time.
+    :param serving: Lists the targets of a service that may get work.
+    :param usual: What is usual for the route.
+    :param hedge_after_seconds: Silence after which another target is asked.
+    :param zone: Availability zone of this instance.
+    :param random: A number between 0 and 1.
+    :param spend: Takes from the extra load of a service, leaving a reserve.
+    """
+
+    now_seconds: float
+    serving: Callable[[str], Sequence[Replica]]
+    usual: Usual
+    hedge_after_seconds: float
+    zone: str
+    random: Callable[[], float]
+    spend: Callable[[str, float], bool]
+
+
+def begin(request: Sharded, view: View) -> Actions:
+    """Send the first attempt of each leg.
+
+    Nothing is sent where too few legs have a target for a success.
+
+    :param request: A new request.
+    :param view: What may be looked at.
+    :returns: What to do.
+    """
+    chosen = [
+        _choose(request, position, view)
+        for position in range(len(request.legs))
+    ]
+    if sum(rep is not None for rep in chosen) < request.plan.least_count:
+        return _finish(request)
+    actions: Actions = []
+    for position, replica in enumerate(chosen):
+        if replica is None:
+            _settle(request, request.legs[position])
+        else:
+            actions.append(_send(request, position, replica, view))
+    actions.append(Wake(_next_wake_seconds(request, view)))
+    return actions
+
+
+def on_reply(
+    request: Sharded, number: int, reply: TargetReply, view: View
+) -> Actions:
+    """Take the outcome of an attempt in.
+
+    :param request: The request.
+    :param number: The attempt.
+    :param reply: The reply, or what stands for it where there was none.
+    :param view: What may be looked at.
+    :returns: What to do; nothing for an attempt no longer under way.
+    """
+    position = request.under_way.pop(number, None)
+    if position is None or request.is_finished:
+        return []
+    leg = request.legs[position]
+    leg.attempts.pop(number, None)
+    if reply.verdict is Verdict.SUCCEEDED:
+        return _succeed(request, leg, reply, view)
+    leg.last_verdict = reply.verdict
+    if reply.verdict not in NOT_RUN:
+        leg.run_count += 1
+    if reply.verdict is Verdict.FAILED:
+        leg.reply = reply
+    return _go_on(request, position, view)
+
+
+def on_wake(request: Sharded, view: View) -> Actions:
+    """Hedge, or stop, as the time has come to.
+
+    :param request: The request.
+    :param view: What may be looked at.
+    :returns: What to do.
+    """
+    if request.is_finished:
+        return []
+    if _is_over(request, view.now_seconds):
+        return _finish(request)
+    actions: Actions = []
+    for position, leg in enumerate(request.legs):
+        if _may_hedge(request, leg, view.now_seconds):
+            actions.extend(_hedge(request, position, view))
+    actions.append(Wake(_next_wake_seconds(request, view)))
+    return actions
+
+
+def abandon(request: Sharded) -> Actions:
+    """End a request whose caller has gone, or that must end now.
+
+    :param request: The request.
+    :returns: What to do.
+    """
+    return [] if request.is_finished else _finish(request)
+
+
+def may_have_run(request: Sharded) -> bool:
+    """Tell whether any target may have run the request.
+
+    :param request: The request.
+    :returns: False only where every attempt is known not to have run;
+        attempts that were cancelled count as run.
+    """
+    return any(leg.run_count or leg.reply for leg in request.legs)
+
+
+def _succeed(
+    request: Sharded, leg: Leg, reply: TargetReply, view: View
+) -> Actions:
+    leg.reply = reply
+    leg.last_verdict = Verdict.SUCCEEDED
+    request.success_count += 1
+    actions = _cancel_all(request, leg)
+    _settle(request, leg)
+    if not request.open_count or _is_over(request, view.now_seconds):
+        actions.extend(_finish(request))
+    return actions
+
+
+def _go_on(request: Sharded, position: int, view: View) -> Actions:
+    leg = request.legs[position]
+    if leg.attempts:
+        return []
+    if _may_try_again(request, leg):
+        replica = _choose(request, position, view)
+        if replica is not None and _may_spend(request, position, view):
+            return [
+                _send(request, position, replica, view),
+                Wake(_next_wake_seconds(request, view)),
+            ]
+    _settle(request, leg)
+    if _is_settled(request):
+        return _finish(request)
+    return []
+
+
+def _may_try_again(request: Sharded, leg: Leg) -> bool:
+    if len(leg.tried) >= MOST_SENDS:
+        return False
+    has_run = leg.run_count > 0
+    if has_run and not request.plan.is_idempotent:
+        return False
+    return leg.run_count < request.plan.attempt_limit
+
+
+def _may_spend(request: Sharded, position: int, view: View) -> bool:
+    if request.legs[position].last_verdict is Verdict.NOT_SENT:
+        return True
+    return view.spend(request.plan.services[position], 0)
+
+
+def _may_hedge(request: Sharded, leg: Leg, now_seconds: float) -> bool:
+    return (
+        request.plan.is_idempotent
+        and not leg.is_settled
+        and len(leg.attempts) == 1
+        and now_seconds >= leg.hedge_seconds
+        and leg.run_count + 1 < request.plan.attempt_limit
+    )
+
+
+def _hedge(request: Sharded, position: int, view: View) -> Actions:
+    leg = request.legs[position]
+    replica = _choose(request, position, view)
+    service = request.plan.services[position]
+    if replica is None or not view.spend(service, HEDGE_RESERVE):
+        leg.hedge_seconds = view.now_seconds + view.hedge_after_seconds
+        return []
+    return [_send(request, position, replica, view)]
+
+
+def _choose(request: Sharded, position: int, view: View) -> Replica | None:
+    tried = request.legs[position].tried
+    return choose_replica(
+        (
+            replica
+            for replica in view.serving(request.plan.services[position])
+            if replica.entry.target not in tried
+        ),
+        view.usual,
+        view.zone,
+        view.now_seconds,
+        view.random(),
+    )
+
+
+def _send(
+    request: Sharded, position: int, replica: Replica, view: View
+) -> Send:
+    leg = request.legs[position]
+    request.send_count += 1
+    attempt = Attempt(request.send_count, position, replica, view.now_seconds)
+    leg.attempts[attempt.number] = attempt
+    leg.tried.add(replica.entry.target)
+    leg.hedge_seconds = view.now_seconds + view.hedge_after_seconds
+    request.under_way[attempt.number] = position
+    return Send(attempt)
+
+
+def _settle(request: Sharded, leg: Leg) -> None:
+    leg.is_settled = True
+    request.open_count -= 1
+
+
+def _is_settled(request: Sharded) -> bool:
+    if not request.open_count:
+        return True
+    # What can no longer succeed is answered at once.
+    reachable = request.success_count + request.open_count
+    return reachable < request.plan.least_count
+
+
+def _is_over(request: Sharded, now_seconds: float) -> bool:
+    if now_seconds >= request.plan.deadline_seconds:
+        return True
+    is_late = now_seconds >= request.plan.due_seconds
+    return is_late and request.success_count >= request.plan.least_count
+
+
+def _cancel_all(request: Sharded, leg: Leg) -> Actions:
+    actions: Actions = []
+    for attempt in leg.attempts.values():
+        request.under_way.pop(attempt.number, None)
+        actions.append(Cancel(attempt))
+    leg.attempts.clear()
+    return actions
+
+
+def _finish(request: Sharded) -> Actions:
+    actions: Actions = []
+    for leg in request.legs:
+        actions.extend(_cancel_all(request, leg))
+    request.is_finished = True
+    actions.append(Finish())
+    return actions
+
+
+def _next_wake_seconds(request: Sharded, view: View) -> float:
+    plan = request.plan
+    times = [plan.deadline_seconds]
+    if view.now_seconds < plan.due_seconds:
+        times.append(plan.due_seconds)
+    for leg in request.legs:
+        if _may_hedge(request, leg, leg.hedge_seconds):
+            times.append(leg.hedge_seconds)
+    return max(view.now_seconds, min(times))
--- a/celeryturn/errors.py
+++ b/celeryturn/errors.py
@@ -30,6 +30,12 @@
     SLOW_REQUEST = 'slow_request'
     DEADLINE_PASSED = 'deadline_passed'
     OVERLOADED = 'overloaded'
+    NO_ROUTE = 'no_route'
+    NO_TARGET = 'no_target'
+    LEAVING = 'leaving'
+    REPLY_LOST = 'reply_lost'
+    COVERAGE_TOO_LOW = 'coverage_too_low'
+    TIMED_OUT = 'timed_out'
     NOT_CONFIGURED = 'not_configured'
     HOME_HELD = 'home_held'
     NO_HOME = 'no_home'
@@ -111,6 +117,24 @@
         Kind.NOT_CONFIGURED: Answer(
             'CT-203', 503, _NOT_RUN, 4, 2, 'Wait for the first configuration.'
         ),
+        Kind.NO_ROUTE: Answer(
+            'CT-204', 404, _NOT_RUN, 3, 0, 'Ask for a route that is published.'
+        ),
+        Kind.NO_TARGET: Answer(
+            'CT-205', 503, _NOT_RUN, 4, 0.2, 'Try again when a target is back.'
+        ),
+        Kind.LEAVING: Answer(
+            'CT-206', 503, _NOT_RUN, 4, 0.01, 'Ask another address.'
+        ),
+        Kind.REPLY_LOST: Answer(
+            'CT-207', 502, Run.UNKNOWN, 6, 0, 'Repeat it only if idempotent.'
+        ),
+        Kind.COVERAGE_TOO_LOW: Answer(
+            'CT-208', 502, Run.UNKNOWN, 6, 0, 'Ask again; some shards failed.'
+        ),
+        Kind.TIMED_OUT: Answer(
+            'CT-209', 504, Run.UNKNOWN, 6, 0, 'Allow more time.'
+        ),
         Kind.HOME_HELD: Answer(
             'CT-301', 503, _NOT_RUN, 4, 5, 'Try again when the home has moved.'
         ),
--- a/celeryturn/events.py
+++ b/celeryturn/events.py
@@ -24,6 +24,7 @@
 LEAVING: Final = Event(102, 'leaving', 'A graceful shutdown began.')
 STOPPED: Final = Event(103, 'stopped', 'Everything is closed.')
 START_FAILED: Final = Event(104, 'start_failed', 'Nothing was started.')
+RELOADED: Final = Event(105, 'reloaded', 'The settings file was read again.')
 ADOPTED: Final = Event(200, 'adopted', 'A configuration is in force.')
 NOT_ADOPTED: Final = Event(
     201, 'not_adopted', 'A published configuration was refused.'
@@ -37,6 +38,18 @@
 LIST_LOST: Final = Event(
     204, 'list_lost', 'The list of instances cannot be read.'
 )
+STORE_LOST: Final = Event(
+    205, 'store_lost', 'The store of the platform does not answer.'
+)
+STORE_BACK: Final = Event(
+    206, 'store_back', 'The store of the platform answers again.'
+)
+TABLE_ADOPTED: Final = Event(
+    207, 'table_adopted', 'A version of the routes is in force.'
+)
+ENTRY_UNUSABLE: Final = Event(
+    208, 'entry_unusable', 'An entry of the list names no target to use.'
+)
 MEMBER_CHANGED: Final = Event(
     300, 'member_changed', 'The belief about an instance changed.'
 )
@@ -45,6 +58,9 @@
 )
 REFUSED: Final = Event(400, 'refused', 'A request was refused.')
 BOOKING_ENDED: Final = Event(401, 'booking_ended', 'A booking has an outcome.')
+FORWARDED_BADLY: Final = Event(
+    402, 'forwarded_badly', 'A forwarded request failed or lacks parts.'
+)
 TARGET_LEAVING: Final = Event(
     500, 'target_leaving', 'A target gets nothing new.'
 )
@@ -62,15 +78,21 @@
     LEAVING,
     STOPPED,
     START_FAILED,
+    RELOADED,
     ADOPTED,
     NOT_ADOPTED,
     CONFIGURATION_LOST,
     CONFIGURATION_STALE,
     LIST_LOST,
+    STORE_LOST,
+    STORE_BACK,
+    TABLE_ADOPTED,
+    ENTRY_UNUSABLE,
     MEMBER_CHANGED,
     PEER_REFUSED,
     REFUSED,
     BOOKING_ENDED,
+    FORWARDED_BADLY,
     TARGET_LEAVING,
     TARGET_RETURNED,
     INTERNAL_FAULT,
--- /dev/null
+++ b/celeryturn/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forward requests of published routes to targets, and gather shards."""
--- /dev/null
+++ b/celeryturn/forwarding/advice.py
@@ -0,0 +1,55 @@
+"""Which addresses callers are told to use."""
+
+from typing import Final
+
+from celeryturn.decisions.advice import advise_zone
+from celeryturn.errors import CeleryturnError, Kind
+from celeryturn.forwarding.tier import Tier
+from celeryturn.http.messages import HttpReply, HttpRequest, split_url
+from celeryturn.platform import wire
+
+KEEP_SECONDS: Final = 2.0
+
+
+def answer_advice(tier: Tier, request: HttpRequest) -> HttpReply:
+    """Tell a caller where to connect.
+
+    :param tier: The tier.
+    :param request: What the caller asks the directory.
+    :returns: The reply.
+    :raises CeleryturnError: ``unknown_path``, or ``not_configured`` while
+        peers are not known yet.
+    """
+    path, query = split_url(request.url)
+    if path != wire.RESOLVE_PATH:
+        raise CeleryturnError(Kind.UNKNOWN_PATH, f'{path} is not answered')
+    instance = tier.instance
+    if not instance.is_ready:
+        raise CeleryturnError(Kind.NOT_CONFIGURED, 'peers are not known yet')
+    members = advise_zone(
+        instance.membership.members.values(), query.get('Zone', '')
+    )
+    addresses = [
+        f'{member.address}:{member.callers_port}' for member in members
+    ]
+    keep_seconds = min(KEEP_SECONDS, tier.settings.grace.advice_keep_seconds)
+    return wire.advice_reply(addresses, keep_seconds)
+
+
+def answer_readiness(tier: Tier, request: HttpRequest) -> HttpReply:
+    """Tell the platform whether this instance is ready.
+
+    :param tier: The tier.
+    :param request: What the platform asks.
+    :returns: An empty reply while it is ready.
+    :raises CeleryturnError: When it is not.
+    """
+    path, _ = split_url(request.url)
+    if path != wire.READY_PATH:
+        raise CeleryturnError(Kind.UNKNOWN_PATH, f'{path} is not answered')
+    instance = tier.instance
+    if instance.is_leaving:
+        raise CeleryturnError(Kind.LEAVING, 'a graceful shutdown began')
+    if not instance.is_ready:
+        raise CeleryturnError(Kind.NOT_CONFIGURED, 'no routes are known yet')
+    return HttpReply(200)
--- /dev/null
+++ b/celeryturn/forwarding/forward.py
@@ -0,0 +1,166 @@
+"""Answer one caller's request by its route."""
+
+import math
+from typing import Final
+
+from celeryturn.decisions import sharded, splitting
+from celeryturn.decisions.replies import TargetReply, Verdict
+from celeryturn.decisions.route_table import Route, match_route
+from celeryturn.errors import CeleryturnError, Kind
+from celeryturn.events import FORWARDED_BADLY, log
+from celeryturn.forwarding import tier as tiers
+from celeryturn.forwarding.runner import Runner, Work, has_run
+from celeryturn.forwarding.tier import Tier
+from celeryturn.http.messages import HttpReply, HttpRequest, header
+from celeryturn.platform import wire
+
+WAY_BACK_SECONDS: Final = 0.012
+ANSWER_SECONDS: Final = 0.005
+ROUNDING: Final = 1e-9
+
+
+async def forward(tier: Tier, request: HttpRequest) -> HttpReply:
+    """Forward a request to the targets of its route.
+
+    :param tier: The tier.
+    :param request: The caller's whole request.
+    :returns: The reply.
+    :raises CeleryturnError: When there is no success and no target's own
+        failure to pass on.
+    """
+    started_seconds = tiers.now()
+    route = _route(tier, request)
+    _require_serving(tier)
+    plan = _plan(tier, request, route, started_seconds)
+    outgoing = request._replace(
+        headers=wire.forwarded_headers(request.headers)
+    )
+    runner = Runner(tier, Work(outgoing, route, plan))
+    tier.under_way.add(runner)
+    try:
+        state = await runner.run()
+    finally:
+        tier.under_way.discard(runner)
+    reply = _success(route, runner, state)
+    if reply is None or state.success_count < len(state.legs):
+        _log_bad(tier, request, route, runner)
+    return reply if reply is not None else _failure(route, runner)
+
+
+def _route(tier: Tier, request: HttpRequest) -> Route:
+    if tier.table is None:
+        raise CeleryturnError(Kind.NOT_CONFIGURED, 'no routes are known yet')
+    host = header(request.headers, 'host') or ''
+    path = request.url.partition('?')[0]
+    route = match_route(tier.table, host, path)
+    if route is None:
+        raise CeleryturnError(
+            Kind.NO_ROUTE,
+            f'{host}{path} has no route in version {tier.table.version}',
+        )
+    return route
+
+
+def _require_serving(tier: Tier) -> None:
+    if tier.is_refusing:
+        raise CeleryturnError(Kind.LEAVING, 'this instance is about to end')
+
+
+def _plan(
+    tier: Tier, request: HttpRequest, route: Route, started_seconds: float
+) -> sharded.Plan:
+    remaining = wire.remaining_seconds(request)
+    wait_seconds = route.timeout_seconds
+    if remaining is not None:
+        wait_seconds = min(wait_seconds, remaining)
+    services = _services(tier, route)
+    return sharded.Plan(
+        services=services,
+        least_count=_least_count(route),
+        is_idempotent=route.is_idempotent,
+        attempt_limit=route.attempt_limit,
+        started_seconds=started_seconds,
+        due_seconds=started_seconds
+        + route.objective_seconds
+        - WAY_BACK_SECONDS,
+        deadline_seconds=started_seconds + wait_seconds - ANSWER_SECONDS,
+    )
+
+
+def _services(tier: Tier, route: Route) -> tuple[str, ...]:
+    if route.gather is not None:
+        return route.gather.shards
+    random = tier.instance.random()
+    return (splitting.choose_service(tier.splitter, route, random),)
+
+
+def _least_count(route: Route) -> int:
+    if route.gather is None:
+        return 1
+    share = route.gather.least_share * len(route.gather.shards)
+    return max(1, math.ceil(share - ROUNDING))
+
+
+def _success(
+    route: Route, runner: Runner, state: sharded.Sharded
+) -> HttpReply | None:
+    parts = _parts(state)
+    if len(parts) < state.plan.least_count:
+        return None
+    if route.gather is None:
+        return wire.caller_reply(runner.replies[parts[0].signature])
+    return wire.gathered_reply(
+        parts, len(state.legs), route.gather.record_count
+    )
+
+
+def _parts(state: sharded.Sharded) -> list[TargetReply]:
+    return [
+        leg.reply
+        for leg in state.legs
+        if leg.reply is not None and leg.reply.verdict is Verdict.SUCCEEDED
+    ]
+
+
+def _failure(route: Route, runner: Runner) -> HttpReply:
+    state = runner.state
+    if not has_run(runner):
+        raise CeleryturnError(Kind.NO_TARGET, 'no target took the request')
+    is_over = tiers.now() >= state.plan.deadline_seconds
+    if is_over:
+        raise CeleryturnError(Kind.TIMED_OUT, 'no answer in time')
+    if route.gather is not None:
+        raise CeleryturnError(
+            Kind.COVERAGE_TOO_LOW,
+            f'{state.success_count} of {len(state.legs)} shards',
+        )
+    reply = state.legs[0].reply
+    if reply is not None:
+        return wire.caller_reply(runner.replies[reply.signature])
+    raise CeleryturnError(Kind.REPLY_LOST, 'the reply of the target was lost')
+
+
+def _log_bad(
+    tier: Tier, request: HttpRequest, route: Route, runner: Runner
+) -> None:
+    state = runner.state
+    failed = {
+        service: str(leg.last_verdict.value) if leg.last_verdict else 'silent'
+        for service, leg in zip(state.plan.services, state.legs, strict=True)
+        if leg.last_verdict is not Verdict.SUCCEEDED
+    }
+    log(
+        FORWARDED_BADLY,
+        request=wire.attempt_id(request),
+        route=route.name,
+        version=tiers.table_version(tier),
+        failed=failed,
+        asked={
+            service: sorted(leg.tried)
+            for service, leg in zip(
+                state.plan.services, state.legs, strict=True
+            )
+            if service in failed
+        },
+        elapsed_ms=round((tiers.now() - state.plan.started_seconds) * 1000),
+    )
--- /dev/null
+++ b/celeryturn/forwarding/runner.py
@@ -0,0 +1,296 @@
+"""Carry out what is decided about one request."""
+
+import asyncio
+from typing import Final, NamedTuple
+
+from celeryturn.decisions import directory, extra_load, latency, replicas
+from celeryturn.decisions import sharded
+from celeryturn.decisions.replies import NOT_RUN, TargetReply, Verdict
+from celeryturn.decisions.route_table import Route
+from celeryturn.forwarding import tier as tiers
+from celeryturn.forwarding.pools import (
+    Exchange,
+    NotSentError,
+    Outcome,
+    cancel,
+    drop_idle,
+    submit,
+)
+from celeryturn.forwarding.tier import Tier
+from celeryturn.http.messages import HttpReply, HttpRequest
+from celeryturn.platform import wire
+from celeryturn.timer import Timer
+
+TYPICAL_PERCENTILE: Final = 50.0
+SLOW_PERCENTILE: Final = 95.0
+TYPICAL_OBJECTIVE_SHARE: Final = 0.2
+SLOW_OBJECTIVE_SHARE: Final = 0.45
+STALL_FACTOR: Final = 1.3
+SECOND_TRY_FACTOR: Final = 2.0
+SILENT_FACTOR: Final = 3.0
+LEAST_TIMER_SECONDS: Final = 0.0005
+
+
+class Work(NamedTuple):
+    """One request with what it needs to be sent.
+
+    :param request: What goes to targets, but for what names one of them.
+    :param route: Its route.
+    :param plan: What is pinned for it.
+    """
+
+    request: HttpRequest
+    route: Route
+    plan: sharded.Plan
+
+
+class Runner:
+    """One request under way.
+
+    :param tier: The tier.
+    :param work: The request.
+    :param state: How far it has come.
+    :param replies: Whole replies by attempt, for those passed on as they are.
+    :param exchanges: What is under way, by attempt.
+    :param has_cancelled: Whether a request was given up after its write.
+    """
+
+    __slots__ = (
+        '_done',
+        '_timer',
+        'exchanges',
+        'has_cancelled',
+        'replies',
+        'state',
+        'tier',
+        'work',
+    )
+
+    def __init__(self, tier: Tier, work: Work) -> None:
+        self.tier = tier
+        self.work = work
+        self.state = sharded.Sharded(work.plan)
+        self.replies: dict[str, HttpReply] = {}
+        self.exchanges: dict[int, Exchange] = {}
+        self.has_cancelled = False
+        self._timer = Timer()
+        self._done: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    async def run(self) -> sharded.Sharded:
+        """Carry the request out; cancelled when its caller goes.
+
+        :returns: How far it has come.
+        """
+        for service in self.work.plan.services:
+            tiers.earn(self.tier, service)
+        try:
+            self._apply(sharded.begin(self.state, self._view()))
+            await self._done
+        finally:
+            self._timer.disarm()
+            self._apply(sharded.abandon(self.state))
+        return self.state
+
+    def stop(self) -> None:
+        """End the request with what is there."""
+        self._apply(sharded.abandon(self.state))
+
+    def _apply(self, actions: sharded.Actions) -> None:
+        for action in actions:
+            match action:
+                case sharded.Send(attempt):
+                    self._send(attempt)
+                case sharded.Cancel(attempt):
+                    self._cancel(attempt)
+                case sharded.Wake(at_seconds):
+                    self._arm(at_seconds)
+                case sharded.Finish():
+                    self._finish()
+
+    def _finish(self) -> None:
+        self._timer.disarm()
+        if not self._done.done():
+            self._done.set_result(None)
+
+    def _arm(self, at_seconds: float) -> None:
+        wait_seconds = max(LEAST_TIMER_SECONDS, at_seconds - tiers.now())
+        self._timer.arm(wait_seconds, self._wake)
+
+    def _wake(self) -> None:
+        self._apply(sharded.on_wake(self.state, self._view()))
+
+    def _send(self, attempt: sharded.Attempt) -> None:
+        target = attempt.replica.entry.target
+        plan = self.work.plan
+
+        def make_request() -> HttpRequest:
+            remaining = plan.deadline_seconds - tiers.now()
+            return wire.target_request(self.work.request, target, remaining)
+
+        def on_end(exchange: Exchange, outcome: Outcome) -> None:
+            self._end(attempt, exchange, outcome)
+
+        exchange = Exchange(
+            self.work.route.rank,
+            make_request,
+            on_end,
+            lambda reply: wire.is_reply_to(reply, self.work.request),
+        )
+        self.exchanges[attempt.number] = exchange
+        attempt.replica.pending[id(exchange)] = tiers.now()
+        submit(tiers.pool_of(self.tier, attempt.replica), exchange)
+
+    def _cancel(self, attempt: sharded.Attempt) -> None:
+        exchange = self.exchanges.pop(attempt.number, None)
+        if exchange is None or exchange.is_ended:
+            return
+        replica = attempt.replica
+        replica.pending.pop(id(exchange), None)
+        pool = tiers.pool_of(self.tier, replica)
+        cancel(pool, exchange)
+        if not exchange.written_seconds:
+            return
+        self.has_cancelled = True
+        now_seconds = tiers.now()
+        usual = self._usual(now_seconds)
+        waited_seconds = now_seconds - exchange.written_seconds
+        replicas.observe_silence(replica, waited_seconds, usual, now_seconds)
+        if waited_seconds > SILENT_FACTOR * usual.stall_seconds:
+            # Kept connections may be silent for good while new ones work.
+            drop_idle(pool, exchange.written_seconds)
+
+    def _end(
+        self, attempt: sharded.Attempt, exchange: Exchange, outcome: Outcome
+    ) -> None:
+        self.exchanges.pop(attempt.number, None)
+        replica = attempt.replica
+        replica.pending.pop(id(exchange), None)
+        reply = self._read(attempt, outcome)
+        self._observe(replica, exchange, reply)
+        view = self._view()
+        self._apply(
+            sharded.on_reply(self.state, attempt.number, reply, view)
+        )
+
+    def _read(
+        self, attempt: sharded.Attempt, outcome: Outcome
+    ) -> TargetReply:
+        if isinstance(outcome, NotSentError):
+            return TargetReply(Verdict.NOT_SENT)
+        if isinstance(outcome, Exception):
+            return TargetReply(Verdict.LOST)
+        reply = wire.read_reply(outcome)
+        if len(self.work.plan.services) == 1:
+            self.replies[reply.signature] = outcome
+        return reply
+
+    def _observe(
+        self,
+        replica: replicas.Replica,
+        exchange: Exchange,
+        reply: TargetReply,
+    ) -> None:
+        now_seconds = tiers.now()
+        if reply.load is not None:
+            replicas.observe_load(replica, reply.load, now_seconds)
+        if reply.verdict is Verdict.SUCCEEDED:
+            waited_seconds = now_seconds - exchange.written_seconds
+            usual = self._usual(now_seconds)
+            replicas.observe_latency(
+                replica, waited_seconds, usual, now_seconds
+            )
+            window = self._window(now_seconds)
+            latency.record(window, waited_seconds, now_seconds)
+        elif reply.verdict is Verdict.NOT_SENT:
+            replicas.observe_unreachable(replica, now_seconds)
+        elif reply.verdict is Verdict.WRONG_TARGET:
+            # Another target has its address now.
+            replicas.observe_unreachable(replica, now_seconds)
+        else:
+            replicas.observe_failure(replica, now_seconds)
+
+    def _window(self, now_seconds: float) -> latency.LatencyWindow:
+        latencies = self.tier.latencies
+        name = self.work.route.name
+        window = latencies.get(name)
+        if window is None:
+            window = latency.LatencyWindow(now_seconds)
+            latencies[name] = window
+        return window
+
+    def _usual(self, now_seconds: float) -> replicas.Usual:
+        window = self._window(now_seconds)
+        objective_seconds = self.work.route.objective_seconds
+        typical_seconds = latency.quantile(
+            window,
+            TYPICAL_PERCENTILE,
+            now_seconds,
+            TYPICAL_OBJECTIVE_SHARE * objective_seconds,
+        )
+        return replicas.Usual(
+            typical_seconds,
+            STALL_FACTOR * self._slow_seconds(now_seconds),
+            objective_seconds,
+        )
+
+    def _slow_seconds(self, now_seconds: float) -> float:
+        return latency.quantile(
+            self._window(now_seconds),
+            SLOW_PERCENTILE,
+            now_seconds,
+            SLOW_OBJECTIVE_SHARE * self.work.route.objective_seconds,
+        )
+
+    def _hedge_after_seconds(self, now_seconds: float) -> float:
+        # As late as a second try still is in time, to spare extra load.
+        slow_seconds = self._slow_seconds(now_seconds)
+        left_seconds = self.work.plan.due_seconds - now_seconds
+        latest_seconds = left_seconds - SECOND_TRY_FACTOR * slow_seconds
+        return max(slow_seconds, latest_seconds)
+
+    def _view(self) -> sharded.View:
+        tier = self.tier
+        now_seconds = tiers.now()
+        return sharded.View(
+            now_seconds=now_seconds,
+            serving=lambda name: directory.serving(tier.directory, name),
+            usual=self._usual(now_seconds),
+            hedge_after_seconds=self._hedge_after_seconds(now_seconds),
+            zone=tier.instance.settings.availability_zone,
+            random=tier.instance.random,
+            spend=lambda name, reserve: extra_load.spend(
+                tiers.budget_of(tier, name), reserve
+            ),
+        )
+
+
+def has_run(runner: Runner) -> bool:
+    """Tell whether a target may have run a request.
+
+    :param runner: The request, ended.
+    :returns: False only where it surely did not run.
+    """
+    return runner.has_cancelled or sharded.may_have_run(runner.state)
+
+
+def last_failure(runner: Runner) -> Verdict | None:
+    """Tell why a request of one leg failed.
+
+    :param runner: The request, ended.
+    :returns: The last verdict, if any target was asked.
+    """
+    return runner.state.legs[0].last_verdict
+
+
+def was_only_refused(runner: Runner) -> bool:
+    """Tell whether all that was heard says that nothing ran.
+
+    :param runner: The request, ended.
+    :returns: Whether every leg was refused or not sent.
+    """
+    return not has_run(runner) and all(
+        leg.last_verdict is None or leg.last_verdict in NOT_RUN
+        for leg in runner.state.legs
+    )
--- /dev/null
+++ b/celeryturn/forwarding/tier.py
@@ -0,0 +1,192 @@
+"""The state by which one instance serves published routes."""
+
+from collections.abc import Callable
+from typing import Protocol, TypeAlias
+
+from celeryturn.clock import running_seconds
+from celeryturn.decisions import extra_load, membership
+from celeryturn.decisions.directory import Directory
+from celeryturn.decisions.latency import LatencyWindow
+from celeryturn.decisions.replicas import Replica
+from celeryturn.decisions.route_table import RouteTable, is_newer
+from celeryturn.decisions.shares import connection_share
+from celeryturn.decisions.splitting import Splitter
+from celeryturn.errors import CeleryturnError
+from celeryturn.events import NOT_ADOPTED, TABLE_ADOPTED, log
+from celeryturn.forwarding.pools import Pool, close_pool
+from celeryturn.forwarding.settings import ForwardingSettings
+from celeryturn.instance import Instance
+from celeryturn.platform.documents import decode_table
+
+
+OnAdopted: TypeAlias = Callable[[RouteTable], None]
+
+
+class Stoppable(Protocol):
+    """A request that can be ended with what is there."""
+
+    def stop(self) -> None:
+        """End it."""
+
+
+class Tier:
+    """What the parts of a forwarding instance share.
+
+    :param settings: Its settings.
+    :param instance: Membership, metrics and life cycle.
+    :param table: Routes in force; ``None`` until they are known.
+    :param table_body: The routes as they were published, for peers.
+    :param directory: The targets.
+    :param pools: Connections, by target.
+    :param budgets: Extra load, by service.
+    :param latencies: Observed latencies of targets, by route.
+    :param splitter: State of split routes.
+    :param on_adopted: Called with every table that comes in force.
+    :param under_way: Requests that are being forwarded.
+    :param is_refusing: Whether new requests are refused as not run.
+    :param store_heard_seconds: When the store last answered.
+    :param store_failed_seconds: When it last failed to.
+    """
+
+    def __init__(
+        self, settings: ForwardingSettings, instance: Instance
+    ) -> None:
+        self.settings = settings
+        self.instance = instance
+        self.table: RouteTable | None = None
+        self.table_body = b''
+        self.directory = Directory()
+        self.pools: dict[str, Pool] = {}
+        self.budgets: dict[str, extra_load.ExtraLoad] = {}
+        self.latencies: dict[str, LatencyWindow] = {}
+        self.splitter = Splitter()
+        self.on_adopted: list[OnAdopted] = []
+        self.under_way: set[Stoppable] = set()
+        self.is_refusing = False
+        self.store_heard_seconds = 0.0
+        self.store_failed_seconds = 0.0
+
+
+def offer_table(tier: Tier, body: bytes, source: str) -> bool:
+    """Put published routes in force if they are newer.
+
+    :param tier: The tier.
+    :param body: As they were published.
+    :param source: Where they came from, for the log.
+    :returns: Whether they are in force now and were not before.
+    """
+    try:
+        table = decode_table(body)
+    except CeleryturnError as error:
+        log(NOT_ADOPTED, source=source, detail=str(error))
+        return False
+    if not is_newer(table, tier.table):
+        return False
+    tier.table = table
+    tier.table_body = body
+    log(TABLE_ADOPTED, version=table.version, source=source)
+    for callback in tier.on_adopted:
+        callback(table)
+    return True
+
+
+def table_version(tier: Tier) -> int:
+    """Read the version of the routes in force.
+
+    :param tier: The tier.
+    :returns: The version; zero while there is none.
+    """
+    return tier.table.version if tier.table is not None else 0
+
+
+def fleet_count(tier: Tier) -> int:
+    """Count the instances that share limits and budgets.
+
+    :param tier: The tier.
+    :returns: A cautious figure while peers are not known yet.
+    """
+    count = membership.live_count(tier.instance.membership)
+    return extra_load.UNKNOWN_FLEET_COUNT if count < 2 else count
+
+
+def budget_of(tier: Tier, service: str) -> extra_load.ExtraLoad:
+    """Find the budget of a service.
+
+    :param tier: The tier.
+    :param service: Name of the service.
+    :returns: This instance's part.
+    """
+    budget = tier.budgets.get(service)
+    if budget is None:
+        budget = extra_load.ExtraLoad(_capacity(tier))
+        tier.budgets[service] = budget
+    return budget
+
+
+def earn(tier: Tier, service: str) -> None:
+    """Credit a service for a needed request.
+
+    :param tier: The tier.
+    :param service: Name of the service.
+    """
+    bounds = tier.settings.extra_load
+    extra_load.earn(budget_of(tier, service), bounds, _capacity(tier))
+
+
+def pool_of(tier: Tier, replica: Replica) -> Pool:
+    """Find the connections to a target.
+
+    :param tier: The tier.
+    :param replica: The target.
+    :returns: Its pool, with this instance's present share.
+    """
+    entry = replica.entry
+    pool = tier.pools.get(entry.target)
+    place = (entry.address, entry.port)
+    if pool is None or (pool.address, pool.port) != place:
+        if pool is not None:
+            close_pool(pool)
+        pool = Pool(entry.address, entry.port, 0)
+        tier.pools[entry.target] = pool
+    pool.share = _share(tier, replica)
+    return pool
+
+
+def prune(tier: Tier) -> None:
+    """Close connections to targets that are gone or leaving.
+
+    :param tier: The tier.
+    """
+    for target in tuple(tier.pools):
+        if target not in tier.directory.services:
+            close_pool(tier.pools.pop(target))
+
+
+def now() -> float:
+    """Read the clock that all of the tier goes by.
+
+    :returns: Seconds.
+    """
+    return running_seconds()
+
+
+def _capacity(tier: Tier) -> float:
+    return extra_load.capacity_of(tier.settings.extra_load, fleet_count(tier))
+
+
+def _share(tier: Tier, replica: Replica) -> int:
+    table = tier.table
+    service = replica.entry.service
+    limit = table.connection_limits.get(service, 0) if table else 0
+    members = tier.instance.membership.members.values()
+    zones = [
+        member.availability_zone
+        for member in members
+        if member.status in membership.SHARING
+    ]
+    return connection_share(
+        limit,
+        replica.entry.zone,
+        tier.instance.settings.availability_zone,
+        zones,
+    )
--- a/celeryturn/http/client.py
+++ b/celeryturn/http/client.py
@@ -1,18 +1,26 @@
 """The client side: one connection, one exchange at a time."""
 
 import asyncio
+import re
+import socket
 from collections.abc import Callable
 from typing import Final, TypeAlias
 
 import h11
 
-from celeryturn.http.messages import HttpReply, HttpRequest
+from celeryturn.http.messages import HttpReply, HttpRequest, header
 from celeryturn.timer import Timer
 
 OnDone: TypeAlias = Callable[[HttpReply | Exception], None]
+Accepts: TypeAlias = Callable[[HttpReply], bool]
 
 CLOSE_SECONDS: Final = 1.0
 MAX_REPLY_BYTES: Final = 4_000_000
+UNACKED_MILLISECONDS: Final = 2000
+PROBE_IDLE_SECONDS: Final = 2
+PROBE_EVERY_SECONDS: Final = 1
+PROBE_COUNT: Final = 2
+_KEEP_ALIVE: Final = re.compile(r'timeout\s*=\s*(\d+)')
 
 
 class ExchangeError(ConnectionError):
@@ -23,10 +31,13 @@
     """A client connection that is reused only after whole exchanges.
 
     :param is_open: Whether the transport is up.
+    :param idle_seconds: How long the other side keeps it while it is idle,
+        as far as it says so.
     """
 
     def __init__(self, host: str) -> None:
         self.is_open = False
+        self.idle_seconds: float | None = None
         self._host = host
         self._machine = h11.Connection(h11.CLIENT)
         self._transport: asyncio.Transport | None = None
@@ -35,6 +46,8 @@
         self._parts: list[bytes] = []
         self._size_bytes = 0
         self._timer = Timer()
+        self._request: HttpRequest | None = None
+        self._accepts: Accepts | None = None
         self._on_closed: Callable[[], None] | None = None
 
     @property
@@ -59,6 +72,9 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Feed the parser and end the exchange when the reply is whole."""
+        if self._on_done is None:
+            self._drop_unasked()
+            return
         self._machine.receive_data(chunk)
         try:
             self._read_events()
@@ -69,13 +85,22 @@
         """Tell the parser that nothing more comes."""
         self.data_received(b'')
 
-    def start(self, request: HttpRequest, on_done: OnDone) -> None:
+    def start(
+        self,
+        request: HttpRequest,
+        on_done: OnDone,
+        accepts: Accepts | None = None,
+    ) -> None:
         """Write a request; the outcome is called back exactly once.
 
         :param request: What to send.
         :param on_done: Gets the whole reply, or why there is none.
+        :param accepts: Tells whether a reply belongs to the request; one
+            that does not is skipped. Every reply does by default.
         """
         self._on_done = on_done
+        self._request = request
+        self._accepts = accepts
         self._parts.clear()
         self._size_bytes = 0
         if self._transport is not None:
@@ -103,6 +128,19 @@
         self._transport.write_eof()
         self._timer.arm(CLOSE_SECONDS, self._transport.abort)
 
+    async def exchange_within(
+        self, request: HttpRequest, timeout_seconds: float
+    ) -> HttpReply:
+        """Make an exchange within a time.
+
+        :param request: What to send.
+        :param timeout_seconds: Longest wait for the whole reply.
+        :returns: The reply.
+        :raises OSError: When there is no whole reply in time.
+        """
+        async with asyncio.timeout(timeout_seconds):
+            return await self.exchange(request)
+
     async def exchange(self, request: HttpRequest) -> HttpReply:
         """Write a request and wait for its whole reply.
 
@@ -125,11 +163,11 @@
         return reply
 
     def _serialize(self, request: HttpRequest) -> bytes:
-        headers = [
-            ('host', self._host),
-            ('content-length', str(len(request.body))),
-            *request.headers,
-        ]
+        headers = list(request.headers)
+        if header(request.headers, 'host') is None:
+            headers.insert(0, ('host', self._host))
+        if request.body or request.method not in _BODILESS:
+            headers.append(('content-length', str(len(request.body))))
         machine = self._machine
         head = machine.send(
             h11.Request(
@@ -175,15 +213,46 @@
 
     def _finish_reply(self) -> None:
         reply = self._reply._replace(body=b''.join(self._parts))
+        if self._accepts is not None and not self._accepts(reply):
+            self._skip_reply()
+            return
         machine = self._machine
-        if machine.our_state is h11.DONE and machine.their_state is h11.DONE:
+        surplus, _ = machine.trailing_data
+        is_done = machine.our_state is h11.DONE and not surplus
+        if is_done and machine.their_state is h11.DONE:
             machine.start_next_cycle()
+            self._note_idle_time(reply)
         else:
             self.is_open = False
             if self._transport is not None:
                 self._transport.close()
         self._end(reply)
 
+    def _skip_reply(self) -> None:
+        # A late reply to an earlier request; the one that is waited for may
+        # follow it on the same connection.
+        surplus, is_ended = self._machine.trailing_data
+        self._machine = h11.Connection(h11.CLIENT)
+        self._parts.clear()
+        self._size_bytes = 0
+        if self._request is not None:
+            self._serialize(self._request)
+        if surplus:
+            self.data_received(surplus)
+        if is_ended:
+            self.data_received(b'')
+
+    def _note_idle_time(self, reply: HttpReply) -> None:
+        stated = _KEEP_ALIVE.search(header(reply.headers, 'keep-alive') or '')
+        self.idle_seconds = float(stated.group(1)) if stated else None
+
+    def _drop_unasked(self) -> None:
+        # Bytes that nobody asked for: none on this connection are trusted.
+        if self._on_closed is None:
+            self.is_open = False
+            if self._transport is not None:
+                self._transport.abort()
+
     def _fail(self, detail: str) -> None:
         self.is_open = False
         if self._transport is not None:
@@ -197,6 +266,9 @@
             on_done(outcome)
 
 
+_BODILESS: Final = frozenset(('GET', 'HEAD'))
+
+
 async def connect(
     address: str,
     port: int,
@@ -214,15 +286,26 @@
     """
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout_seconds):
-        _, connection = await loop.create_connection(
+        transport, connection = await loop.create_connection(
             lambda: Connection(f'{address}:{port}'),
             address,
             port,
             local_addr=(own_address, 0) if own_address else None,
         )
+    _probe_silence(transport.get_extra_info('socket'))
     return connection
 
 
+def _probe_silence(connected: socket.socket) -> None:
+    # A path that went silent without a reset is found out by the system.
+    tcp = socket.IPPROTO_TCP
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connected.setsockopt(tcp, socket.TCP_KEEPIDLE, PROBE_IDLE_SECONDS)
+    connected.setsockopt(tcp, socket.TCP_KEEPINTVL, PROBE_EVERY_SECONDS)
+    connected.setsockopt(tcp, socket.TCP_KEEPCNT, PROBE_COUNT)
+    connected.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKED_MILLISECONDS)
+
+
 async def fetch(
     address: str, port: int, request: HttpRequest, timeout_seconds: float
 ) -> HttpReply:
--- a/celeryturn/http/server.py
+++ b/celeryturn/http/server.py
@@ -19,6 +19,7 @@
 IDLE_SECONDS: Final = 60.0
 MOST_CONNECTIONS: Final = 4096
 LINGER_SECONDS: Final = 0.2
+PARSER_FACTOR: Final = 2
 
 
 ProtocolMaker: TypeAlias = Callable[['HttpServer'], 'ServerConnection']
@@ -28,6 +29,7 @@
     """Bounds of one server.
 
     :param body_bytes: Largest body.
+    :param head_bytes: Largest request line with headers.
     :param request_seconds: Longest time from first byte to whole request.
     :param idle_seconds: Longest time between requests of a connection.
     :param most_connections: Connections beyond it are closed at once.
@@ -35,6 +37,7 @@
 
     __slots__ = (
         'body_bytes',
+        'head_bytes',
         'idle_seconds',
         'most_connections',
         'request_seconds',
@@ -46,8 +49,10 @@
         request_seconds: float = REQUEST_SECONDS,
         idle_seconds: float = IDLE_SECONDS,
         most_connections: int = MOST_CONNECTIONS,
+        head_bytes: int = MAX_HEAD_BYTES,
     ) -> None:
         self.body_bytes = body_bytes
+        self.head_bytes = head_bytes
         self.request_seconds = request_seconds
         self.idle_seconds = idle_seconds
         self.most_connections = most_connections
@@ -96,6 +101,15 @@
         port: int = self._listener.sockets[0].getsockname()[1]
         return port
 
+    async def close_idle(self) -> None:
+        """Take no new connection and close those without a request."""
+        self.is_closing = True
+        if self._listener is not None:
+            self._listener.close()
+        await asyncio.sleep(LINGER_SECONDS)
+        for connection in tuple(self.connections):
+            connection.close_when_idle()
+
     async def stop(self, grace_seconds: float) -> None:
         """Take no new connection, finish what is in flight, close.
 
@@ -130,7 +144,8 @@
         self.task: asyncio.Task[None] | None = None
         self._server = server
         self._machine = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
+            h11.SERVER,
+            max_incomplete_event_size=PARSER_FACTOR * server.limits.head_bytes,
         )
         self._transport: asyncio.Transport | None = None
         self._timer = Timer()
@@ -212,7 +227,7 @@
 
     def _begin_request(self, event: h11.Request) -> None:
         self._parts.clear()
-        _require_small_head(event)
+        _require_small_head(event, self._server.limits.head_bytes)
         self._request = HttpRequest(
             event.method.decode('latin-1'),
             event.target.decode('latin-1'),
@@ -293,14 +308,14 @@
             self._transport.write(encoded)
 
 
-def _require_small_head(event: h11.Request) -> None:
+def _require_small_head(event: h11.Request, limit_bytes: int) -> None:
     # The parser bounds only heads that come in parts.
     size_bytes = len(event.target) + sum(
         len(name) + len(text) for name, text in event.headers
     )
-    if size_bytes > MAX_HEAD_BYTES:
+    if size_bytes > limit_bytes:
         raise CeleryturnError(
-            Kind.TOO_LARGE, f'a head may have {MAX_HEAD_BYTES} bytes'
+            Kind.TOO_LARGE, f'a head may have {limit_bytes} bytes'
         )
 
 
--- a/celeryturn/instance.py
+++ b/celeryturn/instance.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from typing import Final
+from typing import Final, NamedTuple
 
 from celeryturn.decisions import adoption, fleet, membership
 from celeryturn.decisions.bookings import BookingTable
@@ -18,6 +18,22 @@
 MOST_SERVICES: Final = 256
 
 
+class Routes(NamedTuple):
+    """The published routes, as peers exchange them.
+
+    :param version: Reads the version in force; zero while there is none.
+    :param body: Reads them as they were published.
+    :param offer: Takes those of a peer in.
+    """
+
+    version: Callable[[], int]
+    body: Callable[[], bytes]
+    offer: Callable[[bytes], None]
+
+
+NO_ROUTES: Final = Routes(lambda: 0, lambda: b'', lambda body: None)
+
+
 class Instance:
     """State of one instance.
 
@@ -31,6 +47,7 @@
     :param metrics: Collectors.
     :param on_adopted: Called with every document that comes in force.
     :param scouts: Pending while a query finds out the snapshot, by service.
+    :param routes: Published routes, where it serves some.
     :param background: Tasks that outlive the request that began them.
     :param is_ready: Whether it serves callers.
     :param is_leaving: Whether a graceful shutdown has begun.
@@ -52,6 +69,7 @@
         self.metrics = Metrics()
         self.on_adopted: list[OnAdopted] = []
         self.scouts: dict[str, asyncio.Future[None]] = {}
+        self.routes = NO_ROUTES
         self.background: set[asyncio.Task[object]] = set()
         self.is_ready = False
         self.is_leaving = False
--- /dev/null
+++ b/celeryturn/node.py
@@ -0,0 +1,71 @@
+"""The daemon on the users' platform: ``python3 -m celeryturn.node``."""
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+from celeryturn.errors import CeleryturnError, Kind
+from celeryturn.events import RELOADED, START_FAILED, log, log_to
+from celeryturn.forwarding.app import ForwardingApplication
+from celeryturn.forwarding.settings import ForwardingSettings
+from celeryturn.platform.node_settings import (
+    PATH_VARIABLE,
+    parse_node_settings,
+)
+
+
+async def serve(settings: ForwardingSettings) -> None:
+    """Run one instance until it is told to stop.
+
+    :param settings: Its settings.
+    :raises CeleryturnError: When it cannot start.
+    """
+    application = ForwardingApplication(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, application.drain)
+    loop.add_signal_handler(signal.SIGHUP, lambda: _reload(application))
+    await application.start()
+    await application.run()
+
+
+def read_settings() -> ForwardingSettings:
+    """Read the settings file that the platform names.
+
+    :returns: The settings.
+    :raises CeleryturnError: ``invalid_settings`` with every fault.
+    """
+    path = os.environ.get(PATH_VARIABLE, '')
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise CeleryturnError(
+            Kind.INVALID_SETTINGS, f'{path!r} cannot be read: {error}'
+        ) from error
+    return parse_node_settings(text)
+
+
+def main() -> None:
+    """Entry point of the daemon."""
+    log_to(sys.stdout)
+    try:
+        asyncio.run(serve(read_settings()))
+    except CeleryturnError as error:
+        log(START_FAILED, detail=str(error))
+        sys.exit(error.answer.exit_code)
+
+
+def _reload(application: ForwardingApplication) -> None:
+    try:
+        settings = read_settings()
+    except CeleryturnError as error:
+        log(RELOADED, outcome='refused', detail=str(error))
+        return
+    application.put_settings(settings)
+    log(RELOADED, outcome='in force')
+
+
+if __name__ == '__main__':
+    main()
--- a/celeryturn/peers/dialogue.py
+++ b/celeryturn/peers/dialogue.py
@@ -23,10 +23,16 @@
     :returns: What to reply, possibly nothing.
     """
     match message:
-        case messages.Ping(sent_seconds):
+        case messages.Ping(sent_seconds, table_version):
             yield pong(instance, sent_seconds)
+            yield from _want_table(instance, table_version)
         case messages.Pong():
             _take_pong(instance, message)
+            yield from _want_table(instance, message.table_version)
+        case messages.WantTable():
+            yield from _table(instance)
+        case messages.Table(body):
+            instance.routes.offer(body)
         case messages.Versions(versions):
             yield from _want_newer(instance, versions)
         case messages.Want(service):
@@ -48,6 +54,7 @@
         age_seconds=NO_AGE_SECONDS if age_seconds is None else age_seconds,
         versions_digest=versions_digest(instance),
         highest_revision=instance.freshness.highest_revision,
+        table_version=instance.routes.version(),
     )
 
 
@@ -84,6 +91,18 @@
             yield messages.Want(name)
 
 
+def _want_table(
+    instance: Instance, version: int
+) -> Iterator[messages.WantTable]:
+    if version > instance.routes.version():
+        yield messages.WantTable(version)
+
+
+def _table(instance: Instance) -> Iterator[messages.Table]:
+    if instance.routes.version():
+        yield messages.Table(instance.routes.body())
+
+
 def _documents(instance: Instance, service: str) -> Iterator[messages.Document]:
     known = instance.services.get(service)
     if known is not None:
--- a/celeryturn/peers/messages.py
+++ b/celeryturn/peers/messages.py
@@ -30,9 +30,11 @@
     """A question that any live peer answers at once.
 
     :param sent_seconds: Time by the asker's clock.
+    :param table_version: Version of the asker's routes; zero without.
     """
 
     sent_seconds: float
+    table_version: Count = 0
 
 
 class Pong(NamedTuple):
@@ -43,12 +45,14 @@
         it has none.
     :param versions_digest: Hash of all versions in force.
     :param highest_revision: Highest revision the service showed it.
+    :param table_version: Version of its routes; zero without.
     """
 
     echo_seconds: float
     age_seconds: float
     versions_digest: Count
     highest_revision: Count
+    table_version: Count = 0
 
 
 class Members(NamedTuple):
@@ -87,7 +91,35 @@
     body: bytes
 
 
-Message: TypeAlias = Hello | Ping | Pong | Members | Versions | Want | Document
+class WantTable(NamedTuple):
+    """A request for the routes.
+
+    :param version: The version that was heard of.
+    """
+
+    version: Count
+
+
+class Table(NamedTuple):
+    """The routes, as they were published.
+
+    :param body: Their bytes.
+    """
+
+    body: bytes
+
+
+Message: TypeAlias = (
+    Hello
+    | Ping
+    | Pong
+    | Members
+    | Versions
+    | Want
+    | Document
+    | WantTable
+    | Table
+)
 
 _TYPES: Final[Mapping[str, type[Message]]] = MappingProxyType(
     {
@@ -98,6 +130,8 @@
         'versions': Versions,
         'want': Want,
         'document': Document,
+        'want_table': WantTable,
+        'table': Table,
     }
 )
 _NAMES: Final[Mapping[type[Message], str]] = MappingProxyType(
--- a/celeryturn/peers/network.py
+++ b/celeryturn/peers/network.py
@@ -22,9 +22,10 @@
 from celeryturn.peers.dialogue import reply_to
 from celeryturn.peers.links import PeerLink, put, write_queue
 from celeryturn.platform.watcher import share_anew
+from celeryturn.settings import Endpoint
 
 DIAL_SECONDS: Final = 2.0
-IDLE_SECONDS: Final = 10.0
+SEED_NAME: Final = 'seed'
 
 
 class Network:
@@ -37,6 +38,7 @@
     :param first_heard: Set when a peer has told its versions.
     :param heard_versions: Newest version of each service a peer has told.
     :param server: Accepts links, once started.
+    :param seeds: Where peers may be found whose names are not known.
     """
 
     __slots__ = (
@@ -45,6 +47,7 @@
         'heard_versions',
         'instance',
         'links',
+        'seeds',
         'server',
         'watched',
     )
@@ -57,6 +60,7 @@
         self.first_heard = asyncio.Event()
         self.heard_versions: dict[str, int] = {}
         self.server: Server | None = None
+        self.seeds: tuple[Endpoint, ...] = ()
         instance.on_adopted.append(lambda adopted: _on_adopted(self, adopted))
 
 
@@ -120,11 +124,17 @@
     wanted = membership.neighbours_of(instance.membership, count)
     revived = membership.one_gone(instance.membership, instance.random())
     _watch(network, set(wanted))
-    for name in (*wanted, *revived):
+    urls = {
+        name: _url(instance.membership.members[name])
+        for name in (*wanted, *revived)
+    }
+    urls.update(_unknown_seeds(network))
+    for name, url in urls.items():
         if name not in network.dialling:
-            task = asyncio.get_running_loop().create_task(_dial(network, name))
+            dial = _dial(network, name, url)
+            task = asyncio.get_running_loop().create_task(dial)
             network.dialling[name] = task
-    for left in set(network.dialling) - set(wanted) - set(revived):
+    for left in network.dialling.keys() - urls.keys():
         network.dialling[left].cancel()
 
 
@@ -198,27 +208,41 @@
 
 def _ask_neighbours(network: Network) -> None:
     # Only the side that dialled asks: the other one hears it ask.
-    ping = messages.Ping(network.instance.clock())
+    instance = network.instance
+    ping = messages.Ping(instance.clock(), instance.routes.version())
     for link in network.links:
         if link.is_dialled:
             put(link, ping)
 
 
-async def _dial(network: Network, name: str) -> None:
+def _unknown_seeds(network: Network) -> dict[str, str]:
+    # A seed's name is learnt on a link; until then its address stands for it.
+    known = {
+        (member.address, member.peers_port)
+        for member in network.instance.membership.members.values()
+        if member.status is not membership.Status.GONE
+    }
+    return {
+        f'{SEED_NAME} {seed.address}:{seed.port}': (
+            f'ws://{seed.address}:{seed.port}/'
+        )
+        for seed in network.seeds
+        if (seed.address, seed.port) not in known
+    }
+
+
+async def _dial(network: Network, name: str, url: str) -> None:
     try:
-        await _dial_once(network, name)
+        await _dial_once(network, name, url)
     except (OSError, WebSocketException):
         await asyncio.sleep(network.instance.random())
     finally:
         network.dialling.pop(name, None)
 
 
-async def _dial_once(network: Network, name: str) -> None:
-    member = network.instance.membership.members.get(name)
-    if member is None:
-        return
+async def _dial_once(network: Network, name: str, url: str) -> None:
     async with connect(
-        _url(member),
+        url,
         max_size=messages.MAX_MESSAGE_BYTES,
         compression=None,
         ping_interval=None,
@@ -256,8 +280,9 @@
 
 
 async def _read(network: Network, link: PeerLink) -> None:
+    idle_seconds = network.instance.settings.timing.peer_idle_seconds
     while True:
-        async with asyncio.timeout(IDLE_SECONDS):
+        async with asyncio.timeout(idle_seconds):
             encoded = await link.socket.recv(decode=False)
         _take(network, link, messages.unpack(bytes(encoded)))
 
--- /dev/null
+++ b/celeryturn/platform/documents.py
@@ -0,0 +1,202 @@
+"""Decode what the platform's store holds into the product's own types."""
+
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Annotated, Final, TypedDict, TypeVar
+
+import msgspec
+
+from celeryturn.decisions import route_table
+from celeryturn.decisions.replicas import TargetEntry
+from celeryturn.errors import CeleryturnError, Kind
+from celeryturn.platform.node_settings import parse_endpoint
+
+TABLE_KEY: Final = 'op/config'
+TARGETS_PREFIX: Final = 'servers/'
+MILLISECONDS: Final = 1000
+
+DocumentT = TypeVar('DocumentT')
+_Text = Annotated[str, msgspec.Meta(min_length=1)]
+_Milliseconds = Annotated[float, msgspec.Meta(gt=0)]
+_Weight = Annotated[float, msgspec.Meta(ge=0)]
+_Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+_Positive = Annotated[int, msgspec.Meta(ge=1)]
+
+
+class _PartBody(TypedDict):
+    Service: _Text
+    Weight: _Weight
+
+
+class _RouteBody(TypedDict, total=False):
+    Name: _Text
+    Host: _Text
+    Prefix: _Text
+    # ``safe``: may run more than once; any other kind at most once.
+    Kind: _Text
+    # What the operator lets a caller wait, not what a target may take.
+    TimeoutMs: _Milliseconds
+    TargetLatencyMs: _Milliseconds
+    MaxAttempts: _Positive
+    Priority: int
+    Service: _Text
+    Split: list[_PartBody]
+    Gather: list[_Text]
+    TopK: _Positive
+    MinPartShare: _Share
+
+
+class _ServiceBody(TypedDict):
+    Name: _Text
+    # Summed over all callers of one target.
+    MaxConns: _Positive
+
+
+class _LimitsBody(TypedDict):
+    MaxHeaderBytes: _Positive
+    MaxBodyBytes: _Positive
+    # Until the whole request is in, not only its header.
+    HeaderTimeoutMs: _Milliseconds
+    IdleTimeoutMs: _Milliseconds
+
+
+class _TableBody(TypedDict):
+    Version: int
+    Routes: list[_RouteBody]
+    Services: list[_ServiceBody]
+    Limits: _LimitsBody
+
+
+class _EntryRequired(TypedDict):
+    Service: _Text
+    Address: _Text
+    Zone: _Text
+    Slots: _Positive
+    State: _Text
+    # Rises with each write of one incarnation.
+    Sequence: int
+
+
+class _EntryBody(_EntryRequired, total=False):
+    ColdLeftMs: Annotated[float, msgspec.Meta(ge=0)]
+    # Unix milliseconds of its start; an identifier may come back.
+    born: int
+
+
+_table_decoder: Final = msgspec.json.Decoder(_TableBody)
+_entry_decoder: Final = msgspec.json.Decoder(_EntryBody)
+_STATES: Final[Mapping[str, bool]] = MappingProxyType(
+    {'ready': False, 'draining': True}
+)
+
+
+def decode_table(encoded: bytes) -> route_table.RouteTable:
+    """Decode the operator's configuration.
+
+    :param encoded: Value of its key.
+    :returns: The routes.
+    :raises CeleryturnError: ``invalid_configuration``.
+    """
+    body = _decode(_table_decoder, encoded)
+    limits = body['Limits']
+    return route_table.make_table(
+        body['Version'],
+        [_route(route) for route in body['Routes']],
+        {known['Name']: known['MaxConns'] for known in body['Services']},
+        route_table.CallerLimits(
+            head_bytes=limits['MaxHeaderBytes'],
+            body_bytes=limits['MaxBodyBytes'],
+            head_seconds=limits['HeaderTimeoutMs'] / MILLISECONDS,
+            idle_seconds=limits['IdleTimeoutMs'] / MILLISECONDS,
+        ),
+    )
+
+
+def decode_entry(target: str, encoded: bytes) -> TargetEntry:
+    """Decode the entry of a target.
+
+    :param target: Its identifier, from the key.
+    :param encoded: Value of its key.
+    :returns: The entry.
+    :raises CeleryturnError: ``invalid_configuration`` where it names no
+        target to use.
+    """
+    body = _decode(_entry_decoder, encoded)
+    endpoint = parse_endpoint(body['Address'])
+    is_draining = _STATES.get(body['State'])
+    if endpoint is None or is_draining is None:
+        raise CeleryturnError(
+            Kind.INVALID_CONFIGURATION,
+            f'address {body["Address"]!r}, state {body["State"]!r}',
+        )
+    return TargetEntry(
+        target=target,
+        service=body['Service'],
+        address=endpoint.address,
+        port=endpoint.port,
+        zone=body['Zone'],
+        slot_count=body['Slots'],
+        is_draining=is_draining,
+        cold_seconds=body.get('ColdLeftMs', 0) / MILLISECONDS,
+        born_ms=body.get('born', 0),
+        sequence=body['Sequence'],
+    )
+
+
+def _decode(
+    decoder: msgspec.json.Decoder[DocumentT], encoded: bytes
+) -> DocumentT:
+    try:
+        return decoder.decode(encoded)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise CeleryturnError(
+            Kind.INVALID_CONFIGURATION, f'not understood: {error}'
+        ) from error
+
+
+def _route(body: _RouteBody) -> route_table.Route:
+    try:
+        return _make_route(body)
+    except KeyError as error:
+        raise CeleryturnError(
+            Kind.INVALID_CONFIGURATION,
+            f'route {body.get("Name")!r} has no {error}',
+        ) from error
+
+
+def _make_route(body: _RouteBody) -> route_table.Route:
+    timeout_ms = body['TimeoutMs']
+    return route_table.Route(
+        name=body['Name'],
+        host=body['Host'].lower(),
+        prefix=body['Prefix'],
+        is_idempotent=body['Kind'] == 'safe',
+        timeout_seconds=timeout_ms / MILLISECONDS,
+        objective_seconds=body.get('TargetLatencyMs', timeout_ms)
+        / MILLISECONDS,
+        attempt_limit=body.get('MaxAttempts', 1),
+        rank=body.get('Priority', 0),
+        services=_services(body),
+        gather=_gather(body),
+    )
+
+
+def _services(body: _RouteBody) -> tuple[route_table.WeightedService, ...]:
+    if 'Gather' in body:
+        return ()
+    if 'Split' not in body:
+        return (route_table.WeightedService(body['Service'], 1),)
+    return tuple(
+        route_table.WeightedService(part['Service'], part['Weight'])
+        for part in body['Split']
+    )
+
+
+def _gather(body: _RouteBody) -> route_table.GatherPlan | None:
+    if 'Gather' not in body:
+        return None
+    return route_table.GatherPlan(
+        shards=tuple(body['Gather']),
+        record_count=body['TopK'],
+        least_share=body.get('MinPartShare', 0),
+    )
--- /dev/null
+++ b/celeryturn/platform/wire.py
@@ -0,0 +1,219 @@
+"""Headers, statuses and bodies that callers, targets and platform exchange."""
+
+import heapq
+from collections.abc import Iterable
+from typing import Final
+
+import msgspec
+
+from celeryturn.decisions.replicas import Load
+from celeryturn.decisions.replies import TargetReply, Verdict
+from celeryturn.http.messages import Headers, HttpReply, HttpRequest, header
+
+READY_PATH: Final = '/v1/readiness'
+RESOLVE_PATH: Final = '/v1/resolve'
+RECORD_BYTES: Final = 16
+MILLISECONDS: Final = 1000
+
+ATTEMPT_ID: Final = 'x-attempt-id'
+# What is left, not a point in time.
+DEADLINE: Final = 'x-deadline-remaining'
+SIGNATURE: Final = 'x-response-stamp'
+TARGET: Final = 'x-target-instance'
+LOAD: Final = 'x-server-load'
+# Present: the target did not run the request; its text says nothing.
+NOT_RUN: Final = 'x-not-executed'
+PART_SIGNATURES: Final = 'x-part-stamps'
+MISSING_COUNT: Final = 'x-missing-parts'
+
+_ONE_HOP: Final = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'keep-alive',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+_SET_HERE: Final = frozenset((DEADLINE, TARGET))
+_FOR_US: Final = frozenset((LOAD,))
+_WRONG_TARGET_STATUS: Final = 421
+_SUCCESS: Final = range(200, 300)
+
+
+def remaining_seconds(request: HttpRequest) -> float | None:
+    """Read how long the caller will wait.
+
+    :param request: A caller's request.
+    :returns: Seconds from its arrival; ``None`` where it does not say.
+    """
+    text = header(request.headers, DEADLINE)
+    try:
+        return None if text is None else float(text) / MILLISECONDS
+    except ValueError:
+        return None
+
+
+def attempt_id(request: HttpRequest) -> str:
+    """Read the identifier of a caller's request.
+
+    :param request: A caller's request.
+    :returns: The identifier, empty without one.
+    """
+    return header(request.headers, ATTEMPT_ID) or ''
+
+
+def forwarded_headers(headers: Headers) -> Headers:
+    """Choose the headers that go on to targets or back to callers.
+
+    :param headers: As they came in.
+    :returns: Those that do not concern one connection only.
+    """
+    named = header(headers, 'connection') or ''
+    one_hop = {name.strip().lower() for name in named.split(',')}
+    dropped = _ONE_HOP | _SET_HERE | one_hop
+    return tuple(pair for pair in headers if pair[0] not in dropped)
+
+
+def target_request(
+    request: HttpRequest, target: str, remaining: float
+) -> HttpRequest:
+    """Address a request to one target.
+
+    :param request: The caller's request, its headers chosen already.
+    :param target: Identifier of the target.
+    :param remaining: Seconds until its reply is of no use.
+    :returns: The request to send.
+    """
+    headers = (
+        *request.headers,
+        (DEADLINE, str(max(1, int(remaining * MILLISECONDS)))),
+        (TARGET, target),
+    )
+    return request._replace(headers=headers)
+
+
+def is_reply_to(reply: HttpReply, request: HttpRequest) -> bool:
+    """Tell whether a reply belongs to a request.
+
+    :param reply: What came on the connection.
+    :param request: The request that was sent on it.
+    :returns: False where it names another request.
+    """
+    named = header(reply.headers, ATTEMPT_ID)
+    return named is None or named == attempt_id(request)
+
+
+def read_reply(reply: HttpReply) -> TargetReply:
+    """Decode a whole reply of a target.
+
+    :param reply: The reply.
+    :returns: What it means.
+    """
+    signature = header(reply.headers, SIGNATURE) or ''
+    return TargetReply(
+        verdict=_verdict(reply, signature),
+        signature=signature,
+        body=reply.body,
+        load=_load(header(reply.headers, LOAD)),
+    )
+
+
+def caller_reply(reply: HttpReply) -> HttpReply:
+    """Turn a target's reply into the caller's.
+
+    :param reply: A reply with the target's signature.
+    :returns: Status, body and signature as the target gave them.
+    """
+    headers = tuple(
+        pair
+        for pair in forwarded_headers(reply.headers)
+        if pair[0] not in _FOR_US
+    )
+    return reply._replace(headers=headers)
+
+
+def gathered_reply(
+    parts: Iterable[TargetReply], shard_count: int, record_count: int
+) -> HttpReply:
+    """Put the answer together from parts.
+
+    :param parts: Replies of different shards.
+    :param shard_count: Shards that were to be asked.
+    :param record_count: How many of the greatest records to return.
+    :returns: The caller's reply.
+    """
+    included = tuple(parts)
+    signatures = ', '.join(part.signature for part in included)
+    missing_count = shard_count - len(included)
+    headers = (
+        (PART_SIGNATURES, signatures),
+        (MISSING_COUNT, str(missing_count)),
+    )
+    body = greatest_records((part.body for part in included), record_count)
+    return HttpReply(_SUCCESS.start, headers, body)
+
+
+def greatest_records(bodies: Iterable[bytes], record_count: int) -> bytes:
+    """Merge unordered records.
+
+    :param bodies: Records of fixed size; a shorter remainder is none.
+    :param record_count: How many to keep.
+    :returns: The greatest records, the greatest first; equal ones all count.
+    """
+    records = (
+        body[start : start + RECORD_BYTES]
+        for body in bodies
+        for start in range(0, len(body) - RECORD_BYTES + 1, RECORD_BYTES)
+    )
+    return b''.join(heapq.nlargest(record_count, records))
+
+
+def refusal_headers(retry_after_seconds: float) -> Headers:
+    """Tell when a request that was not run may come again.
+
+    :param retry_after_seconds: Seconds, possibly a fraction.
+    :returns: The header.
+    """
+    return (('retry-after', f'{retry_after_seconds:.3f}'),)
+
+
+def advice_reply(addresses: list[str], keep_seconds: float) -> HttpReply:
+    """Tell a caller where to connect.
+
+    :param addresses: ``IP:PORT`` of instances, in any order.
+    :param keep_seconds: How long to keep the answer.
+    :returns: The reply.
+    """
+    body = msgspec.json.encode({'addrs': addresses, 'ttl_s': keep_seconds})
+    return HttpReply(
+        _SUCCESS.start, (('content-type', 'application/json'),), body
+    )
+
+
+def _verdict(reply: HttpReply, signature: str) -> Verdict:
+    if reply.status == _WRONG_TARGET_STATUS:
+        return Verdict.WRONG_TARGET
+    if header(reply.headers, NOT_RUN) is not None:
+        return Verdict.SHED
+    if not signature or header(reply.headers, 'content-encoding') is not None:
+        return Verdict.UNUSABLE
+    if reply.status in _SUCCESS:
+        return Verdict.SUCCEEDED
+    return Verdict.FAILED
+
+
+def _load(text: str | None) -> Load | None:
+    if text is None:
+        return None
+    parts = text.split(',')
+    if not all(part.strip().isdigit() for part in parts):
+        return None
+    if len(parts) != len(Load._fields):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return Load(running, waiting, max(1, slots))
--- a/celeryturn/settings.py
+++ b/celeryturn/settings.py
@@ -32,6 +32,7 @@
     :param advice_keep_seconds: Longest time callers keep an address.
     :param shutdown_grace_seconds: Longest wait for requests in flight.
     :param connect_timeout_seconds: Longest wait for a connection.
+    :param peer_idle_seconds: Silence after which a link is opened anew.
     """
 
     watch_wait_seconds: Seconds = 5.0
@@ -41,6 +42,7 @@
     advice_keep_seconds: Seconds = 20.0
     shutdown_grace_seconds: Seconds = 10.0
     connect_timeout_seconds: Seconds = 1.0
+    peer_idle_seconds: Seconds = 10.0
 
 
 class Settings(NamedTuple):
