--- a/celeryturn/decisions/extra_load.py
+++ b/celeryturn/decisions/extra_load.py
@@ -47,9 +47,7 @@
     return max(1.0, SLACK_MARGIN * bounds.slack_count / max(1, fleet_count))
 
 
-def earn(
-    budget: ExtraLoad, bounds: ExtraLoadBounds, capacity: float
-) -> None:
+def earn(budget: ExtraLoad, bounds: ExtraLoadBounds, capacity: float) -> None:
     """Credit a needed request.
 
     :param budget: The instance's part.
--- a/celeryturn/decisions/replicas.py
+++ b/celeryturn/decisions/replicas.py
@@ -13,10 +13,15 @@
 FIRST_BLOCK_SECONDS: Final = 0.25
 MOST_BLOCK_SECONDS: Final = 2.0
 MOST_DOUBLINGS: Final = 4
+FIRST_TRIAL_SECONDS: Final = 0.06
+MOST_TRIAL_SECONDS: Final = 1.0
+MOST_SILENT_COUNT: Final = 8
 ZONE_PENALTY_SHARE: Final = 0.25
 STALL_PENALTY_SHARE: Final = 1.0
 FAILURE_PENALTY_SHARE: Final = 2.0
 JITTER: Final = 0.1
+LEAST_TYPICAL_SECONDS: Final = 0.0001
+GOLDEN_RATIO: Final = 0.618034
 
 
 class TargetEntry(NamedTuple):
@@ -73,6 +78,8 @@
     :param load_seconds: When it reported it.
     :param blocked_until_seconds: No new request before this time.
     :param refused_count: Failures to connect in a row.
+    :param trial_seconds: When it may be tried again after it stayed silent.
+    :param silent_count: Times it stayed silent in a row.
     """
 
     __slots__ = (
@@ -86,7 +93,9 @@
         'observed_seconds',
         'pending',
         'refused_count',
+        'silent_count',
         'slowness',
+        'trial_seconds',
     )
 
     def __init__(self, entry: TargetEntry, now_seconds: float) -> None:
@@ -101,6 +110,8 @@
         self.load_seconds = 0.0
         self.blocked_until_seconds = 0.0
         self.refused_count = 0
+        self.trial_seconds = 0.0
+        self.silent_count = 0
 
 
 class Usual(NamedTuple):
@@ -128,8 +139,11 @@
     """
     replica.heard_seconds = now_seconds
     replica.refused_count = 0
+    replica.silent_count = 0
     before = slowness_of(replica, now_seconds)
-    observed = latency_seconds / max(usual.typical_seconds, 1e-4)
+    observed = latency_seconds / max(
+        usual.typical_seconds, LEAST_TYPICAL_SECONDS
+    )
     bounded = min(max(observed, LEAST_SLOWNESS), MOST_SLOWNESS)
     replica.slowness = before + SMOOTHING * (bounded - before)
     replica.observed_seconds = now_seconds
@@ -141,17 +155,23 @@
 ) -> None:
     """Learn from a request that was given up without a reply.
 
+    A pause is over soon and slowness is not: the target is tried again
+    after a short while, with one request, and later each time.
+
     :param replica: The target that stayed silent.
     :param waited_seconds: From send until it was given up.
     :param usual: What is usual for the route.
     :param now_seconds: Time of giving up.
     """
-    before = slowness_of(replica, now_seconds)
-    observed = waited_seconds / max(usual.typical_seconds, 1e-4)
-    if observed > before:
-        bounded = min(observed, MOST_SLOWNESS)
-        replica.slowness = before + SMOOTHING * (bounded - before)
-        replica.observed_seconds = now_seconds
+    has_replied = replica.heard_seconds > now_seconds - waited_seconds
+    if waited_seconds < usual.stall_seconds or has_replied:
+        return
+    if now_seconds < replica.trial_seconds:
+        return
+    doubled_seconds = FIRST_TRIAL_SECONDS * 2**replica.silent_count
+    wait_seconds = min(MOST_TRIAL_SECONDS, doubled_seconds)
+    replica.silent_count = min(replica.silent_count + 1, MOST_SILENT_COUNT)
+    replica.trial_seconds = now_seconds + wait_seconds
 
 
 def observe_failure(replica: Replica, now_seconds: float) -> None:
@@ -205,11 +225,14 @@
     :param replica: The target.
     :param usual: What is usual for the route.
     :param now_seconds: Time of the question.
-    :returns: Whether its oldest request got nothing for longer than usual.
+    :returns: Whether its oldest request got nothing for longer than usual,
+        or it stayed silent and is being tried again, or not yet.
     """
     oldest_seconds = next(iter(replica.pending.values()), None)
     if oldest_seconds is None:
-        return False
+        return now_seconds < replica.trial_seconds
+    if replica.silent_count:
+        return True
     since_seconds = max(oldest_seconds, replica.heard_seconds)
     return now_seconds - since_seconds > usual.stall_seconds
 
@@ -280,7 +303,7 @@
     for replica in replicas:
         if replica.blocked_until_seconds > now_seconds:
             continue
-        spread = (spread * 7.31 + 0.17) % 1
+        spread = math.modf(spread + GOLDEN_RATIO)[0]
         cost = cost_seconds(replica, usual, zone, now_seconds)
         cost *= 1 + JITTER * spread
         if cost < best_cost:
@@ -289,9 +312,7 @@
     return best
 
 
-def _count_outcome(
-    replica: Replica, outcome: int, now_seconds: float
-) -> None:
+def _count_outcome(replica: Replica, outcome: int, now_seconds: float) -> None:
     before = replica.failure_share
     replica.failure_share = before + SMOOTHING * (outcome - before)
     if outcome:
--- a/celeryturn/decisions/splitting.py
+++ b/celeryturn/decisions/splitting.py
@@ -39,9 +39,7 @@
     return chosen
 
 
-def _saved(
-    splitter: Splitter, route: Route, random: float
-) -> dict[str, float]:
+def _saved(splitter: Splitter, route: Route, random: float) -> dict[str, float]:
     names = {service.name for service in route.services}
     saved = splitter.credits.get(route.name)
     if saved is None or saved.keys() != names:
--- a/celeryturn/forwarding/advice.py
+++ b/celeryturn/forwarding/advice.py
@@ -9,6 +9,7 @@
 from celeryturn.platform import wire
 
 KEEP_SECONDS: Final = 2.0
+OK: Final = 200
 
 
 def answer_advice(tier: Tier, request: HttpRequest) -> HttpReply:
@@ -52,4 +53,4 @@
         raise CeleryturnError(Kind.LEAVING, 'a graceful shutdown began')
     if not instance.is_ready:
         raise CeleryturnError(Kind.NOT_CONFIGURED, 'no routes are known yet')
-    return HttpReply(200)
+    return HttpReply(OK)
--- a/celeryturn/forwarding/app.py
+++ b/celeryturn/forwarding/app.py
@@ -18,7 +18,7 @@
 )
 from celeryturn.forwarding import tier as tiers
 from celeryturn.forwarding.advice import answer_advice, answer_readiness
-from celeryturn.forwarding.follow import expire_lapsed, follow
+from celeryturn.forwarding.follow import expire_lapsed, follow, hear_revision
 from celeryturn.forwarding.forward import forward
 from celeryturn.forwarding.refusals import refusal_reply
 from celeryturn.forwarding.settings import ForwardingSettings
@@ -55,9 +55,11 @@
         self.network = peers.Network(instance)
         self.network.seeds = settings.seeds
         instance.routes = Routes(
-            lambda: tiers.table_version(self.tier),
-            lambda: self.tier.table_body,
-            lambda body: self._offer(body),
+            version=lambda: tiers.table_version(self.tier),
+            body=lambda: self.tier.table_body,
+            offer=self._offer,
+            revision=lambda: self.tier.progress.revision,
+            hear_revision=lambda heard: hear_revision(self.tier, heard),
         )
         self.front = HttpServer(self._forward, refusal_reply)
         self.tier.on_adopted.append(self._limit_callers)
@@ -83,9 +85,7 @@
         found = tuple(fault for fault in faults if fault is not None)
         if found:
             await self.stop()
-            raise CeleryturnError(
-                Kind.INVALID_SETTINGS, 'cannot listen', found
-            )
+            raise CeleryturnError(Kind.INVALID_SETTINGS, 'cannot listen', found)
         log(STARTED, instance=settings.instance.instance)
         self._begin(
             follow(self.tier),
--- a/celeryturn/forwarding/follow.py
+++ b/celeryturn/forwarding/follow.py
@@ -9,7 +9,7 @@
 from celeryturn.errors import CeleryturnError
 from celeryturn.events import ENTRY_UNUSABLE, STORE_BACK, STORE_LOST, log
 from celeryturn.forwarding import tier as tiers
-from celeryturn.forwarding.tier import Tier
+from celeryturn.forwarding.tier import StoreProgress, Tier
 from celeryturn.platform.documents import (
     TABLE_KEY,
     TARGETS_PREFIX,
@@ -20,39 +20,55 @@
     Changes,
     HistoryGoneError,
     StoreClient,
+    StoreError,
 )
 
-WATCH_SECONDS: Final = 4.0
+WATCH_SECONDS: Final = 10.0
 RETRY_SECONDS: Final = 0.6
+GATHER_SECONDS: Final = 0.4
+OVERTAKEN_SECONDS: Final = 0.8
 EXPIRE_EVERY_SECONDS: Final = 0.25
 
 
+class OvertakenError(StoreError):
+    """A peer has followed the store further than this instance."""
+
+
 async def follow(tier: Tier) -> None:
     """Read the store and watch it until cancelled.
 
     :param tier: The tier.
     """
     client = StoreClient(tier.settings.instance.configuration)
-    revision: int | None = None
-    is_lost = False
-    try:
-        while True:
-            try:
-                revision = await _follow_once(tier, client, revision)
-            except HistoryGoneError:
-                revision = None
-                continue
-            except OSError as error:
-                if not is_lost:
-                    log(STORE_LOST, detail=repr(error))
-                is_lost = True
-                await asyncio.sleep(_retry_seconds(tier))
-                continue
-            if is_lost:
-                is_lost = False
-                log(STORE_BACK, revision=revision)
-    finally:
-        client.close()
+    progress = tier.progress
+    while True:
+        try:
+            await _follow_once(tier, client)
+        except HistoryGoneError:
+            progress.revision = 0
+        except OSError as error:
+            _note_lost(progress, error)
+            spread = 0.5 + tier.instance.random()
+            await asyncio.sleep(RETRY_SECONDS * spread)
+
+
+def hear_revision(tier: Tier, heard: int) -> None:
+    """Take in how far a peer has followed the store.
+
+    A watch may be silent for good on a connection that looks open.
+
+    :param tier: The tier.
+    :param heard: The peer's revision.
+    """
+    progress = tier.progress
+    if heard <= progress.revision or not progress.revision:
+        return
+
+    def check() -> None:
+        if progress.revision < heard:
+            progress.overtaken.set()
+
+    asyncio.get_running_loop().call_later(OVERTAKEN_SECONDS, check)
 
 
 async def expire_lapsed(tier: Tier) -> None:
@@ -66,35 +82,68 @@
         tiers.prune(tier)
 
 
-async def _follow_once(
-    tier: Tier, client: StoreClient, revision: int | None
-) -> int:
-    if revision is None:
-        return await _read_all(tier, client)
-    asked_seconds = tiers.now()
-    changes = await client.watch('', revision, WATCH_SECONDS)
-    if tier.store_failed_seconds > tier.store_heard_seconds:
-        directory.note_store_back(tier.directory, tiers.now())
-    tier.store_heard_seconds = max(asked_seconds, tiers.now())
+async def _follow_once(tier: Tier, client: StoreClient) -> None:
+    progress = tier.progress
+    if not progress.revision:
+        progress.revision = await _read_all(tier, client)
+        return
+    changes = await _watch(tier, client)
+    _note_heard(tier)
     _apply(tier, changes.changes)
-    return max(revision, changes.revision)
+    progress.revision = max(progress.revision, changes.revision)
+    if changes.changes:
+        # Changes come in bursts; each call is paid for.
+        await asyncio.sleep(GATHER_SECONDS)
+
+
+async def _watch(tier: Tier, client: StoreClient) -> Changes:
+    progress = tier.progress
+    progress.overtaken.clear()
+    loop = asyncio.get_running_loop()
+    watching = loop.create_task(
+        client.watch('', progress.revision, WATCH_SECONDS)
+    )
+    overtaken = loop.create_task(progress.overtaken.wait())
+    try:
+        await asyncio.wait(
+            (watching, overtaken), return_when=asyncio.FIRST_COMPLETED
+        )
+    finally:
+        overtaken.cancel()
+        if not watching.done():
+            watching.cancel()
+    if not watching.done():
+        raise OvertakenError('a peer has heard of later changes')
+    return watching.result()
+
+
+def _note_lost(progress: StoreProgress, error: OSError) -> None:
+    if not progress.is_lost:
+        log(STORE_LOST, detail=repr(error))
+    progress.is_lost = True
+
+
+def _note_heard(tier: Tier) -> None:
+    if tier.progress.is_lost:
+        tier.progress.is_lost = False
+        directory.note_store_back(tier.directory, tiers.now())
+        log(STORE_BACK, revision=tier.progress.revision)
 
 
 async def _read_all(tier: Tier, client: StoreClient) -> int:
     routes = await client.read(TABLE_KEY)
     listed = await client.read(TARGETS_PREFIX)
+    _note_heard(tier)
     _offer_routes(tier, routes)
-    entries = {
-        entry.target: entry for entry in _entries(tier, listed.changes)
-    }
+    entries = {entry.target: entry for entry in _entries(tier, listed.changes)}
     directory.replace_all(tier.directory, entries, tiers.now())
     return routes.revision
 
 
 def _offer_routes(tier: Tier, routes: Changes) -> None:
     for change in routes.changes:
-        if change.key == TABLE_KEY and change.content is not None:
-            tiers.offer_table(tier, change.content, 'store')
+        if change.key == TABLE_KEY and change.body is not None:
+            tiers.offer_table(tier, change.body, 'store')
 
 
 def _apply(tier: Tier, changes: Iterable[Change]) -> None:
@@ -104,7 +153,7 @@
         if change.key == TABLE_KEY:
             _offer_routes(tier, Changes((change,), 0))
         elif change.key.startswith(TARGETS_PREFIX):
-            if change.content is None:
+            if change.body is None:
                 removed.append(change.key.removeprefix(TARGETS_PREFIX))
             else:
                 _put(tier, change)
@@ -116,20 +165,13 @@
         directory.put_entry(tier.directory, entry, tiers.now())
         return
     # What stands there now names no target to use.
-    directory.drop(
-        tier.directory, change.key.removeprefix(TARGETS_PREFIX)
-    )
+    directory.drop(tier.directory, change.key.removeprefix(TARGETS_PREFIX))
 
 
 def _entries(tier: Tier, changes: Iterable[Change]) -> Iterable[TargetEntry]:
     for change in changes:
         target = change.key.removeprefix(TARGETS_PREFIX)
         try:
-            yield decode_entry(target, change.content or b'')
+            yield decode_entry(target, change.body or b'')
         except CeleryturnError as error:
             log(ENTRY_UNUSABLE, target=target, detail=error.detail)
-
-
-def _retry_seconds(tier: Tier) -> float:
-    tier.store_failed_seconds = tiers.now()
-    return RETRY_SECONDS * (0.5 + tier.instance.random())
--- a/celeryturn/forwarding/forward.py
+++ b/celeryturn/forwarding/forward.py
@@ -3,7 +3,8 @@
 import math
 from typing import Final
 
-from celeryturn.decisions import sharded, splitting
+from celeryturn.decisions import splitting
+from celeryturn.decisions.legs import Plan, Sharded
 from celeryturn.decisions.replies import TargetReply, Verdict
 from celeryturn.decisions.route_table import Route, match_route
 from celeryturn.errors import CeleryturnError, Kind
@@ -17,6 +18,7 @@
 WAY_BACK_SECONDS: Final = 0.012
 ANSWER_SECONDS: Final = 0.005
 ROUNDING: Final = 1e-9
+MILLISECONDS: Final = 1000
 
 
 async def forward(tier: Tier, request: HttpRequest) -> HttpReply:
@@ -32,9 +34,7 @@
     route = _route(tier, request)
     _require_serving(tier)
     plan = _plan(tier, request, route, started_seconds)
-    outgoing = request._replace(
-        headers=wire.forwarded_headers(request.headers)
-    )
+    outgoing = request._replace(headers=wire.forwarded_headers(request.headers))
     runner = Runner(tier, Work(outgoing, route, plan))
     tier.under_way.add(runner)
     try:
@@ -44,7 +44,7 @@
     reply = _success(route, runner, state)
     if reply is None or state.success_count < len(state.legs):
         _log_bad(tier, request, route, runner)
-    return reply if reply is not None else _failure(route, runner)
+    return _failure(route, runner) if reply is None else reply
 
 
 def _route(tier: Tier, request: HttpRequest) -> Route:
@@ -68,13 +68,13 @@
 
 def _plan(
     tier: Tier, request: HttpRequest, route: Route, started_seconds: float
-) -> sharded.Plan:
+) -> Plan:
     remaining = wire.remaining_seconds(request)
     wait_seconds = route.timeout_seconds
     if remaining is not None:
         wait_seconds = min(wait_seconds, remaining)
     services = _services(tier, route)
-    return sharded.Plan(
+    return Plan(
         services=services,
         least_count=_least_count(route),
         is_idempotent=route.is_idempotent,
@@ -101,9 +101,7 @@
     return max(1, math.ceil(share - ROUNDING))
 
 
-def _success(
-    route: Route, runner: Runner, state: sharded.Sharded
-) -> HttpReply | None:
+def _success(route: Route, runner: Runner, state: Sharded) -> HttpReply | None:
     parts = _parts(state)
     if len(parts) < state.plan.least_count:
         return None
@@ -114,7 +112,7 @@
     )
 
 
-def _parts(state: sharded.Sharded) -> list[TargetReply]:
+def _parts(state: Sharded) -> list[TargetReply]:
     return [
         leg.reply
         for leg in state.legs
@@ -149,18 +147,18 @@
         for service, leg in zip(state.plan.services, state.legs, strict=True)
         if leg.last_verdict is not Verdict.SUCCEEDED
     }
+    asked = {
+        service: sorted(leg.tried)
+        for service, leg in zip(state.plan.services, state.legs, strict=True)
+        if service in failed
+    }
+    elapsed_seconds = tiers.now() - state.plan.started_seconds
     log(
         FORWARDED_BADLY,
         request=wire.attempt_id(request),
         route=route.name,
         version=tiers.table_version(tier),
         failed=failed,
-        asked={
-            service: sorted(leg.tried)
-            for service, leg in zip(
-                state.plan.services, state.legs, strict=True
-            )
-            if service in failed
-        },
-        elapsed_ms=round((tiers.now() - state.plan.started_seconds) * 1000),
+        asked=asked,
+        elapsed_ms=round(elapsed_seconds * MILLISECONDS),
     )
--- a/celeryturn/forwarding/pools.py
+++ b/celeryturn/forwarding/pools.py
@@ -181,13 +181,13 @@
 def _serve(pool: Pool) -> None:
     while _has_waiting(pool):
         connection = _take_idle(pool)
-        if connection is not None:
-            _, _, exchange = heapq.heappop(pool.waiting)
-            _write(pool, exchange, connection)
-        elif _may_open(pool):
+        if connection is None:
+            if not _may_open(pool):
+                return
             _open(pool)
         else:
-            return
+            _, _, exchange = heapq.heappop(pool.waiting)
+            _write(pool, exchange, connection)
 
 
 def _has_waiting(pool: Pool) -> bool:
@@ -257,14 +257,13 @@
 
 
 def _keep(pool: Pool, connection: Connection) -> None:
-    if not pool.is_current or pool.held_count > max(pool.share, LEAST_SHARE):
+    is_surplus = pool.held_count > max(pool.share, LEAST_SHARE)
+    if is_surplus or not pool.is_current:
         connection.close()
         _give_up(pool)
         return
     now_seconds = running_seconds()
-    until_seconds = float('inf')
-    if connection.idle_seconds is not None:
-        until_seconds = now_seconds + connection.idle_seconds
+    until_seconds = now_seconds + connection.idle_seconds
     pool.idle.append(Idle(connection, now_seconds, until_seconds))
 
 
--- a/celeryturn/forwarding/runner.py
+++ b/celeryturn/forwarding/runner.py
@@ -3,8 +3,14 @@
 import asyncio
 from typing import Final, NamedTuple
 
-from celeryturn.decisions import directory, extra_load, latency, replicas
-from celeryturn.decisions import sharded
+from celeryturn.decisions import (
+    directory,
+    extra_load,
+    latency,
+    legs,
+    replicas,
+    sharded,
+)
 from celeryturn.decisions.replies import NOT_RUN, TargetReply, Verdict
 from celeryturn.decisions.route_table import Route
 from celeryturn.forwarding import tier as tiers
@@ -41,7 +47,7 @@
 
     request: HttpRequest
     route: Route
-    plan: sharded.Plan
+    plan: legs.Plan
 
 
 class Runner:
@@ -69,7 +75,7 @@
     def __init__(self, tier: Tier, work: Work) -> None:
         self.tier = tier
         self.work = work
-        self.state = sharded.Sharded(work.plan)
+        self.state = legs.Sharded(work.plan)
         self.replies: dict[str, HttpReply] = {}
         self.exchanges: dict[int, Exchange] = {}
         self.has_cancelled = False
@@ -78,7 +84,7 @@
             asyncio.get_running_loop().create_future()
         )
 
-    async def run(self) -> sharded.Sharded:
+    async def run(self) -> legs.Sharded:
         """Carry the request out; cancelled when its caller goes.
 
         :returns: How far it has come.
@@ -97,16 +103,16 @@
         """End the request with what is there."""
         self._apply(sharded.abandon(self.state))
 
-    def _apply(self, actions: sharded.Actions) -> None:
+    def _apply(self, actions: legs.Actions) -> None:
         for action in actions:
             match action:
-                case sharded.Send(attempt):
+                case legs.Send(attempt):
                     self._send(attempt)
-                case sharded.Cancel(attempt):
+                case legs.Cancel(attempt):
                     self._cancel(attempt)
-                case sharded.Wake(at_seconds):
+                case legs.Wake(at_seconds):
                     self._arm(at_seconds)
-                case sharded.Finish():
+                case legs.Finish():
                     self._finish()
 
     def _finish(self) -> None:
@@ -121,7 +127,7 @@
     def _wake(self) -> None:
         self._apply(sharded.on_wake(self.state, self._view()))
 
-    def _send(self, attempt: sharded.Attempt) -> None:
+    def _send(self, attempt: legs.Attempt) -> None:
         target = attempt.replica.entry.target
         plan = self.work.plan
 
@@ -142,7 +148,7 @@
         attempt.replica.pending[id(exchange)] = tiers.now()
         submit(tiers.pool_of(self.tier, attempt.replica), exchange)
 
-    def _cancel(self, attempt: sharded.Attempt) -> None:
+    def _cancel(self, attempt: legs.Attempt) -> None:
         exchange = self.exchanges.pop(attempt.number, None)
         if exchange is None or exchange.is_ended:
             return
@@ -162,7 +168,7 @@
             drop_idle(pool, exchange.written_seconds)
 
     def _end(
-        self, attempt: sharded.Attempt, exchange: Exchange, outcome: Outcome
+        self, attempt: legs.Attempt, exchange: Exchange, outcome: Outcome
     ) -> None:
         self.exchanges.pop(attempt.number, None)
         replica = attempt.replica
@@ -170,13 +176,9 @@
         reply = self._read(attempt, outcome)
         self._observe(replica, exchange, reply)
         view = self._view()
-        self._apply(
-            sharded.on_reply(self.state, attempt.number, reply, view)
-        )
+        self._apply(sharded.on_reply(self.state, attempt.number, reply, view))
 
-    def _read(
-        self, attempt: sharded.Attempt, outcome: Outcome
-    ) -> TargetReply:
+    def _read(self, attempt: legs.Attempt, outcome: Outcome) -> TargetReply:
         if isinstance(outcome, NotSentError):
             return TargetReply(Verdict.NOT_SENT)
         if isinstance(outcome, Exception):
@@ -250,10 +252,10 @@
         latest_seconds = left_seconds - SECOND_TRY_FACTOR * slow_seconds
         return max(slow_seconds, latest_seconds)
 
-    def _view(self) -> sharded.View:
+    def _view(self) -> legs.View:
         tier = self.tier
         now_seconds = tiers.now()
-        return sharded.View(
+        return legs.View(
             now_seconds=now_seconds,
             serving=lambda name: directory.serving(tier.directory, name),
             usual=self._usual(now_seconds),
--- a/celeryturn/forwarding/tier.py
+++ b/celeryturn/forwarding/tier.py
@@ -1,5 +1,6 @@
 """The state by which one instance serves published routes."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Protocol, TypeAlias
 
@@ -22,6 +23,22 @@
 OnAdopted: TypeAlias = Callable[[RouteTable], None]
 
 
+class StoreProgress:
+    """How far the platform's store was followed.
+
+    :param revision: Up to here nothing was missed; zero before a whole read.
+    :param is_lost: Whether the last call failed.
+    :param overtaken: Set when a peer has been further for too long.
+    """
+
+    __slots__ = ('is_lost', 'overtaken', 'revision')
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.is_lost = False
+        self.overtaken = asyncio.Event()
+
+
 class Stoppable(Protocol):
     """A request that can be ended with what is there."""
 
@@ -44,8 +61,7 @@
     :param on_adopted: Called with every table that comes in force.
     :param under_way: Requests that are being forwarded.
     :param is_refusing: Whether new requests are refused as not run.
-    :param store_heard_seconds: When the store last answered.
-    :param store_failed_seconds: When it last failed to.
+    :param progress: How far the store was followed.
     """
 
     def __init__(
@@ -63,8 +79,7 @@
         self.on_adopted: list[OnAdopted] = []
         self.under_way: set[Stoppable] = set()
         self.is_refusing = False
-        self.store_heard_seconds = 0.0
-        self.store_failed_seconds = 0.0
+        self.progress = StoreProgress()
 
 
 def offer_table(tier: Tier, body: bytes, source: str) -> bool:
@@ -96,7 +111,7 @@
     :param tier: The tier.
     :returns: The version; zero while there is none.
     """
-    return tier.table.version if tier.table is not None else 0
+    return tier.table.version if tier.table else 0
 
 
 def fleet_count(tier: Tier) -> int:
--- a/celeryturn/http/client.py
+++ b/celeryturn/http/client.py
@@ -1,6 +1,7 @@
 """The client side: one connection, one exchange at a time."""
 
 import asyncio
+import math
 import re
 import socket
 from collections.abc import Callable
@@ -37,7 +38,7 @@
 
     def __init__(self, host: str) -> None:
         self.is_open = False
-        self.idle_seconds: float | None = None
+        self.idle_seconds = math.inf
         self._host = host
         self._machine = h11.Connection(h11.CLIENT)
         self._transport: asyncio.Transport | None = None
@@ -244,7 +245,7 @@
 
     def _note_idle_time(self, reply: HttpReply) -> None:
         stated = _KEEP_ALIVE.search(header(reply.headers, 'keep-alive') or '')
-        self.idle_seconds = float(stated.group(1)) if stated else None
+        self.idle_seconds = float(stated.group(1)) if stated else math.inf
 
     def _drop_unasked(self) -> None:
         # Bytes that nobody asked for: none on this connection are trusted.
--- a/celeryturn/instance.py
+++ b/celeryturn/instance.py
@@ -24,14 +24,28 @@
     :param version: Reads the version in force; zero while there is none.
     :param body: Reads them as they were published.
     :param offer: Takes those of a peer in.
+    :param revision: Reads how far the store was followed.
+    :param hear_revision: Takes in how far a peer has followed it.
     """
 
     version: Callable[[], int]
     body: Callable[[], bytes]
     offer: Callable[[bytes], None]
+    revision: Callable[[], int]
+    hear_revision: Callable[[int], None]
 
 
-NO_ROUTES: Final = Routes(lambda: 0, lambda: b'', lambda body: None)
+def _nothing(_heard: object) -> None:
+    """Take something in that has no use here."""
+
+
+NO_ROUTES: Final = Routes(
+    version=int,
+    body=bytes,
+    offer=_nothing,
+    revision=int,
+    hear_revision=_nothing,
+)
 
 
 class Instance:
--- a/celeryturn/peers/dialogue.py
+++ b/celeryturn/peers/dialogue.py
@@ -23,22 +23,17 @@
     :returns: What to reply, possibly nothing.
     """
     match message:
-        case messages.Ping(sent_seconds, table_version):
+        case messages.Ping(sent_seconds):
             yield pong(instance, sent_seconds)
-            yield from _want_table(instance, table_version)
         case messages.Pong():
             _take_pong(instance, message)
-            yield from _want_table(instance, message.table_version)
-        case messages.WantTable():
-            yield from _table(instance)
-        case messages.Table(body):
-            instance.routes.offer(body)
         case messages.Versions(versions):
             yield from _want_newer(instance, versions)
         case messages.Want(service):
             yield from _documents(instance, service)
         case messages.Document(body):
             offer_document(instance, body, 'peer')
+    yield from _exchange_table(instance, message)
 
 
 def pong(instance: Instance, echo_seconds: float) -> messages.Pong:
@@ -55,6 +50,7 @@
         versions_digest=versions_digest(instance),
         highest_revision=instance.freshness.highest_revision,
         table_version=instance.routes.version(),
+        store_revision=instance.routes.revision(),
     )
 
 
@@ -91,11 +87,24 @@
             yield messages.Want(name)
 
 
+def _exchange_table(
+    instance: Instance, message: messages.Message
+) -> Iterator[messages.Message]:
+    match message:
+        case messages.Ping() | messages.Pong():
+            yield from _want_table(instance, message)
+        case messages.WantTable():
+            yield from _table(instance)
+        case messages.Table(body):
+            instance.routes.offer(body)
+
+
 def _want_table(
-    instance: Instance, version: int
+    instance: Instance, heard: messages.Ping | messages.Pong
 ) -> Iterator[messages.WantTable]:
-    if version > instance.routes.version():
-        yield messages.WantTable(version)
+    instance.routes.hear_revision(heard.store_revision)
+    if heard.table_version > instance.routes.version():
+        yield messages.WantTable(heard.table_version)
 
 
 def _table(instance: Instance) -> Iterator[messages.Table]:
--- a/celeryturn/peers/messages.py
+++ b/celeryturn/peers/messages.py
@@ -31,10 +31,12 @@
 
     :param sent_seconds: Time by the asker's clock.
     :param table_version: Version of the asker's routes; zero without.
+    :param store_revision: Revision up to which it followed the store.
     """
 
     sent_seconds: float
     table_version: Count = 0
+    store_revision: Count = 0
 
 
 class Pong(NamedTuple):
@@ -46,6 +48,7 @@
     :param versions_digest: Hash of all versions in force.
     :param highest_revision: Highest revision the service showed it.
     :param table_version: Version of its routes; zero without.
+    :param store_revision: Revision up to which it followed the store.
     """
 
     echo_seconds: float
@@ -53,6 +56,7 @@
     versions_digest: Count
     highest_revision: Count
     table_version: Count = 0
+    store_revision: Count = 0
 
 
 class Members(NamedTuple):
--- a/celeryturn/peers/network.py
+++ b/celeryturn/peers/network.py
@@ -124,18 +124,10 @@
     wanted = membership.neighbours_of(instance.membership, count)
     revived = membership.one_gone(instance.membership, instance.random())
     _watch(network, set(wanted))
-    urls = {
-        name: _url(instance.membership.members[name])
-        for name in (*wanted, *revived)
-    }
+    members = instance.membership.members
+    urls = {name: _url(members[name]) for name in (*wanted, *revived)}
     urls.update(_unknown_seeds(network))
-    for name, url in urls.items():
-        if name not in network.dialling:
-            dial = _dial(network, name, url)
-            task = asyncio.get_running_loop().create_task(dial)
-            network.dialling[name] = task
-    for left in network.dialling.keys() - urls.keys():
-        network.dialling[left].cancel()
+    _dial_only(network, urls)
 
 
 def broadcast(
@@ -209,12 +201,23 @@
 def _ask_neighbours(network: Network) -> None:
     # Only the side that dialled asks: the other one hears it ask.
     instance = network.instance
-    ping = messages.Ping(instance.clock(), instance.routes.version())
+    routes = instance.routes
+    ping = messages.Ping(instance.clock(), routes.version(), routes.revision())
     for link in network.links:
         if link.is_dialled:
             put(link, ping)
 
 
+def _dial_only(network: Network, urls: dict[str, str]) -> None:
+    for name, url in urls.items():
+        if name not in network.dialling:
+            dial = _dial(network, name, url)
+            task = asyncio.get_running_loop().create_task(dial)
+            network.dialling[name] = task
+    for left in network.dialling.keys() - urls.keys():
+        network.dialling[left].cancel()
+
+
 def _unknown_seeds(network: Network) -> dict[str, str]:
     # A seed's name is learnt on a link; until then its address stands for it.
     known = {
--- a/celeryturn/platform/node_settings.py
+++ b/celeryturn/platform/node_settings.py
@@ -11,6 +11,7 @@
 PATH_VARIABLE: Final = 'CELERYTURN_BOOT'
 NEIGHBOUR_COUNT: Final = 3
 PEER_IDLE_SECONDS: Final = 3.0
+DEFAULTS: Final = ExtraLoadBounds()
 
 # Names of the platform for what a role listens on.
 _FRONT: Final = 'Listen.Front'
@@ -33,8 +34,8 @@
         directory=reader.endpoint(_DIRECTORY),
         seeds=reader.endpoints('Seeds'),
         extra_load=ExtraLoadBounds(
-            reader.number('Bounds.RetryBudgetRatio', 0.2),
-            reader.number('Bounds.RetryBudgetSlack', 58),
+            reader.number('Bounds.RetryBudgetRatio', DEFAULTS.ratio),
+            reader.number('Bounds.RetryBudgetSlack', DEFAULTS.slack_count),
         ),
         grace=Grace(
             shutdown_seconds=reader.number('Bounds.GraceS', 6),
--- a/celeryturn/platform/store.py
+++ b/celeryturn/platform/store.py
@@ -31,11 +31,11 @@
     """One key as it is now.
 
     :param key: The key.
-    :param content: Its value; ``None`` where it was deleted.
+    :param body: Its value; ``None`` where it was deleted.
     """
 
     key: str
-    content: bytes | None
+    body: bytes | None
 
 
 class Changes(NamedTuple):
@@ -49,7 +49,7 @@
     revision: int
 
 
-class _Item(TypedDict, total=False):
+class _ItemBody(TypedDict, total=False):
     Key: str
     # Standard base64; msgspec decodes it. It may be anyone's bytes.
     Value: str
@@ -57,13 +57,13 @@
 
 
 class _RangeBody(TypedDict):
-    items: list[_Item]
+    items: list[_ItemBody]
     HasMore: bool
     CurrentRev: Annotated[int, msgspec.Meta(ge=0)]
 
 
 class _WatchBody(TypedDict):
-    events: list[_Item]
+    events: list[_ItemBody]
     CurrentRev: Annotated[int, msgspec.Meta(ge=0)]
 
 
@@ -168,22 +168,20 @@
         return await connection.exchange_within(request, timeout_seconds)
 
 
-def _decode(
-    decoder: msgspec.json.Decoder[BodyT], reply: HttpReply
-) -> BodyT:
+def _decode(decoder: msgspec.json.Decoder[BodyT], reply: HttpReply) -> BodyT:
     try:
         return decoder.decode(reply.body)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise StoreError(f'not understood: {error}') from error
 
 
-def _change(item: _Item) -> Change:
+def _change(item: _ItemBody) -> Change:
     key = item.get('Key', '')
     if item.get('Deleted'):
         return Change(key, None)
     try:
-        content = msgspec.convert(item.get('Value', ''), bytes)
+        body = msgspec.convert(item.get('Value', ''), bytes)
     except msgspec.ValidationError:
         # Unreadable bytes of another writer: a value that names nothing.
-        content = b''
-    return Change(key, content)
+        body = b''
+    return Change(key, body)
--- a/celeryturn/platform/wire.py
+++ b/celeryturn/platform/wire.py
@@ -42,7 +42,9 @@
 _SET_HERE: Final = frozenset((DEADLINE, TARGET))
 _FOR_US: Final = frozenset((LOAD,))
 _WRONG_TARGET_STATUS: Final = 421
-_SUCCESS: Final = range(200, 300)
+_OK: Final = 200
+_HUNDRED: Final = 100
+_SUCCESS_HUNDREDS: Final = 2
 
 
 def remaining_seconds(request: HttpRequest) -> float | None:
@@ -155,7 +157,7 @@
         (MISSING_COUNT, str(missing_count)),
     )
     body = greatest_records((part.body for part in included), record_count)
-    return HttpReply(_SUCCESS.start, headers, body)
+    return HttpReply(_OK, headers, body)
 
 
 def greatest_records(bodies: Iterable[bytes], record_count: int) -> bytes:
@@ -190,9 +192,7 @@
     :returns: The reply.
     """
     body = msgspec.json.encode({'addrs': addresses, 'ttl_s': keep_seconds})
-    return HttpReply(
-        _SUCCESS.start, (('content-type', 'application/json'),), body
-    )
+    return HttpReply(_OK, (('content-type', 'application/json'),), body)
 
 
 def _verdict(reply: HttpReply, signature: str) -> Verdict:
@@ -202,7 +202,7 @@
         return Verdict.SHED
     if not signature or header(reply.headers, 'content-encoding') is not None:
         return Verdict.UNUSABLE
-    if reply.status in _SUCCESS:
+    if reply.status // _HUNDRED == _SUCCESS_HUNDREDS:
         return Verdict.SUCCEEDED
     return Verdict.FAILED
 
