Scenarios for published routes, against a store and targets of our own

Change: a stand-in of the store (ranges, watches, lost history, refusals, silence) and of opaque targets (shed, fail, lose, truncate, garble, repeat, answer late, another name); scenarios for routes, splits, targets, legs, extra load and the whole path; a check that the platform's names stand in its folder only. The wait for a first peer is left out where there is no other seed.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 	$(BIN)/flake8 .
 	$(BIN)/mypy
 	$(BIN)/python -m tools.purity
+	$(BIN)/python -m tools.boundary
 
 check-tests: $(STAMP)
 	$(BIN)/python -m tests.run
--- a/celeryturn/forwarding/advice.py
+++ b/celeryturn/forwarding/advice.py
@@ -5,7 +5,7 @@
 from celeryturn.decisions.advice import advise_zone
 from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.forwarding.tier import Tier
-from celeryturn.http.messages import HttpReply, HttpRequest, split_url
+from celeryturn.http.messages import HttpReply, HttpRequest
 from celeryturn.platform import wire
 
 KEEP_SECONDS: Final = 2.0
@@ -21,15 +21,13 @@
     :raises CeleryturnError: ``unknown_path``, or ``not_configured`` while
         peers are not known yet.
     """
-    path, query = split_url(request.url)
-    if path != wire.RESOLVE_PATH:
-        raise CeleryturnError(Kind.UNKNOWN_PATH, f'{path} is not answered')
+    zone = wire.advised_zone(request)
+    if zone is None:
+        raise _unknown(request)
     instance = tier.instance
     if not instance.is_ready:
         raise CeleryturnError(Kind.NOT_CONFIGURED, 'peers are not known yet')
-    members = advise_zone(
-        instance.membership.members.values(), query.get('Zone', '')
-    )
+    members = advise_zone(instance.membership.members.values(), zone)
     addresses = [
         f'{member.address}:{member.callers_port}' for member in members
     ]
@@ -45,12 +43,15 @@
     :returns: An empty reply while it is ready.
     :raises CeleryturnError: When it is not.
     """
-    path, _ = split_url(request.url)
-    if path != wire.READY_PATH:
-        raise CeleryturnError(Kind.UNKNOWN_PATH, f'{path} is not answered')
+    if not wire.is_ready_question(request):
+        raise _unknown(request)
     instance = tier.instance
     if instance.is_leaving:
         raise CeleryturnError(Kind.LEAVING, 'a graceful shutdown began')
     if not instance.is_ready:
         raise CeleryturnError(Kind.NOT_CONFIGURED, 'no routes are known yet')
     return HttpReply(OK)
+
+
+def _unknown(request: HttpRequest) -> CeleryturnError:
+    return CeleryturnError(Kind.UNKNOWN_PATH, f'{request.url} is not answered')
--- a/celeryturn/forwarding/app.py
+++ b/celeryturn/forwarding/app.py
@@ -69,6 +69,7 @@
             (settings.directory, _aside(self.tier, answer_advice)),
         )
         self._loops: list[asyncio.Task[None]] = []
+        self._following: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Listen, then become ready in the background.
@@ -87,12 +88,10 @@
             await self.stop()
             raise CeleryturnError(Kind.INVALID_SETTINGS, 'cannot listen', found)
         log(STARTED, instance=settings.instance.instance)
-        self._begin(
-            follow(self.tier),
-            expire_lapsed(self.tier),
-            peers.gossip(self.network),
-            self._become_ready(),
-        )
+        self._following = self._begin(follow(self.tier))
+        self._begin(expire_lapsed(self.tier))
+        self._begin(peers.gossip(self.network))
+        self._begin(self._become_ready())
 
     def put_settings(self, settings: ForwardingSettings) -> None:
         """Put changed settings in force, but for names and ports.
@@ -104,6 +103,12 @@
             instance=self.tier.settings.instance
         )
 
+    def restart_following(self) -> None:
+        """Follow the store anew, at the address of the settings."""
+        if self._following is not None:
+            self._following.cancel()
+        self._following = self._begin(follow(self.tier))
+
     def drain(self) -> None:
         """Begin a graceful shutdown; :meth:`run` carries it out."""
         self.leaving.set()
@@ -162,12 +167,11 @@
     async def _forward(self, request: HttpRequest) -> HttpReply:
         return await _guard(request, lambda: forward(self.tier, request))
 
-    def _begin(self, *coroutines: Coroutine[Any, Any, None]) -> None:
-        loop = asyncio.get_running_loop()
-        for coroutine in coroutines:
-            task = loop.create_task(coroutine)
-            task.add_done_callback(_report_fault)
-            self._loops.append(task)
+    def _begin(self, loop: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(loop)
+        task.add_done_callback(_report_fault)
+        self._loops.append(task)
+        return task
 
     async def _listen_peers(self) -> Fault | None:
         try:
@@ -183,9 +187,7 @@
             await asyncio.sleep(READY_CHECK_SECONDS)
         # What was in force before a restart must not revert, and callers
         # are advised of peers too.
-        while not self.network.first_heard.is_set():
-            if tiers.now() - started_seconds > FIRST_PEER_SECONDS:
-                break
+        while self._waits_for_peers(started_seconds):
             await asyncio.sleep(READY_CHECK_SECONDS)
         tier.instance.is_ready = True
         log(
@@ -194,6 +196,14 @@
             version=tiers.table_version(tier),
         )
 
+    def _waits_for_peers(self, started_seconds: float) -> bool:
+        if self.network.first_heard.is_set():
+            return False
+        own = self.tier.settings.instance.peers
+        has_seeds = any(seed != own for seed in self.network.seeds)
+        waited_seconds = tiers.now() - started_seconds
+        return has_seeds and waited_seconds < FIRST_PEER_SECONDS
+
 
 async def _guard(
     request: HttpRequest, answer: Callable[[], Awaitable[HttpReply]]
--- a/celeryturn/platform/wire.py
+++ b/celeryturn/platform/wire.py
@@ -8,7 +8,13 @@
 
 from celeryturn.decisions.replicas import Load
 from celeryturn.decisions.replies import TargetReply, Verdict
-from celeryturn.http.messages import Headers, HttpReply, HttpRequest, header
+from celeryturn.http.messages import (
+    Headers,
+    HttpReply,
+    HttpRequest,
+    header,
+    split_url,
+)
 
 READY_PATH: Final = '/v1/readiness'
 RESOLVE_PATH: Final = '/v1/resolve'
@@ -184,6 +190,26 @@
     return (('retry-after', f'{retry_after_seconds:.3f}'),)
 
 
+def advised_zone(request: HttpRequest) -> str | None:
+    """Read for which availability zone addresses are asked.
+
+    :param request: What came to the directory.
+    :returns: The zone, possibly empty; ``None`` for another question.
+    """
+    path, query = split_url(request.url)
+    return query.get('Zone', '') if path == RESOLVE_PATH else None
+
+
+def is_ready_question(request: HttpRequest) -> bool:
+    """Tell whether the platform asks whether this instance is ready.
+
+    :param request: What came in.
+    :returns: Whether it is that question.
+    """
+    path, _ = split_url(request.url)
+    return path == READY_PATH
+
+
 def advice_reply(addresses: list[str], keep_seconds: float) -> HttpReply:
     """Tell a caller where to connect.
 
--- a/tests/steps/checks.py
+++ b/tests/steps/checks.py
@@ -8,7 +8,7 @@
 
 from celeryturn.errors import ANSWERS, Kind
 from celeryturn.events import all_events
-from tools import catalogue, purity
+from tools import boundary, catalogue, purity
 
 
 @then('docs/ERRORS.md and docs/EVENTS.md are up to date')
@@ -47,6 +47,35 @@
     assert len(set(numbers)) == len(numbers), numbers
 
 
+@then('the package passes the check of names')
+def expect_bounded(context: Context) -> None:
+    """Expect no fault."""
+    found = list(boundary.faults(boundary.PACKAGE))
+    assert not found, found
+
+
+@then("the platform's folder is under a tenth of the package")
+def expect_small(context: Context) -> None:
+    """Expect a small adapter."""
+    size = boundary.share(boundary.PACKAGE)
+    assert size <= boundary.LARGEST_SHARE, size
+
+
+@when('a module has the line "{line}"')
+def write_module(context: Context, line: str) -> None:
+    """Write a module outside the platform's folder."""
+    context.folder = tempfile.mkdtemp()
+    path = Path(context.folder) / 'module.py'
+    path.write_text(f'{line}\n', encoding='utf-8')
+
+
+@then('the check of names finds it')
+def expect_named(context: Context) -> None:
+    """Expect one fault."""
+    found = list(boundary.faults(Path(context.folder)))
+    assert len(found) == 1, found
+
+
 @then('the decisions pass the import check')
 def expect_pure(context: Context) -> None:
     """Expect no fault."""
--- /dev/null
+++ b/tests/steps/directory.py
@@ -0,0 +1,95 @@
+"""Steps on the targets that are believed to serve."""
+
+from behave import given, then, when
+from behave.runner import Context
+
+from celeryturn.decisions import directory
+from celeryturn.decisions.replicas import TargetEntry
+from tests.support.entries import make_entry
+
+START_SECONDS = 1000.0
+
+
+@given('the entries "{names}"')
+def given_entries(context: Context, names: str) -> None:
+    """List targets."""
+    context.store_seconds = START_SECONDS
+    context.directory = directory.Directory()
+    for name in names.split():
+        _put(context, make_entry(name, sequence=5))
+
+
+@when('"{name}" is listed as draining')
+def list_draining(context: Context, name: str) -> None:
+    """Change an entry."""
+    _put(context, make_entry(name, is_draining=True, sequence=6))
+
+
+@when('"{name}" is listed again')
+def list_again(context: Context, name: str) -> None:
+    """Write an entry."""
+    _put(context, make_entry(name, sequence=7))
+
+
+@when('an older entry of "{name}" comes late')
+def list_late(context: Context, name: str) -> None:
+    """Write an entry that was overtaken."""
+    _put(context, make_entry(name, sequence=4))
+
+
+@when('the entries "{names}" go missing')
+def lose_entries(context: Context, names: str) -> None:
+    """Remove entries together."""
+    directory.remove_entries(
+        context.directory, names.split(), context.store_seconds
+    )
+
+
+@when('the store is back')
+def come_back(context: Context) -> None:
+    """Let the store answer after it was away."""
+    directory.note_store_back(context.directory, context.store_seconds)
+
+
+@when('the list is read and has "{names}"')
+def read_list(context: Context, names: str) -> None:
+    """Read a whole list."""
+    entries = {name: make_entry(name, sequence=5) for name in names.split()}
+    directory.replace_all(context.directory, entries, context.store_seconds)
+
+
+@when('{seconds:g} seconds pass at the store')
+def pass_at_store(context: Context, seconds: float) -> None:
+    """Let time pass."""
+    context.store_seconds += seconds
+    directory.expire(context.directory, context.store_seconds)
+
+
+@when('"{name}" was slow and starts again')
+def start_again(context: Context, name: str) -> None:
+    """Start another incarnation under the same identifier."""
+    known = directory.find(context.directory, name)
+    assert known is not None
+    known.slowness = 9.0
+    known.pending[1] = START_SECONDS
+    _put(context, make_entry(name, born_ms=2, sequence=1))
+
+
+@then('nothing is remembered of "{name}"')
+def expect_new(context: Context, name: str) -> None:
+    """Expect a target as if seen for the first time."""
+    known = directory.find(context.directory, name)
+    assert known is not None
+    assert known.slowness == 1, known.slowness
+    assert not known.pending
+
+
+@then('"{names}" serves')
+def expect_serving(context: Context, names: str) -> None:
+    """Expect these targets and no other."""
+    found = directory.serving(context.directory, 's')
+    assert {rep.entry.target for rep in found} == set(names.split())
+
+
+def _put(context: Context, entry: TargetEntry) -> None:
+    directory.put_entry(context.directory, entry, context.store_seconds)
--- /dev/null
+++ b/tests/steps/replicas.py
@@ -0,0 +1,150 @@
+"""Steps on which target is asked next."""
+
+import random
+
+from behave import given, then, when
+from behave.runner import Context
+
+from celeryturn.decisions import replicas
+from celeryturn.decisions.shares import connection_share
+from tests.support.entries import make_entry
+
+START_SECONDS = 1000.0
+USUAL = replicas.Usual(
+    typical_seconds=0.04, stall_seconds=0.1, objective_seconds=0.25
+)
+
+
+@given('targets in zones "{places}"')
+def given_targets(context: Context, places: str) -> None:
+    """Make targets."""
+    context.now_seconds = START_SECONDS
+    context.known = {}
+    for place in places.split():
+        name, zone = place.split(':')
+        entry = make_entry(name, zone=zone)
+        context.known[name] = replicas.Replica(entry, START_SECONDS)
+
+
+@when('"{name}" replies in {milliseconds:d} ms, {count:d} times')
+def reply(context: Context, name: str, milliseconds: int, count: int) -> None:
+    """Observe replies."""
+    context.known[name].pending.clear()
+    for _ in range(count):
+        replicas.observe_latency(
+            context.known[name],
+            milliseconds / 1000,
+            USUAL,
+            context.now_seconds,
+        )
+
+
+@when('"{name}" has a request under way for {milliseconds:d} ms')
+def leave_pending(context: Context, name: str, milliseconds: int) -> None:
+    """Send a request that is not replied to."""
+    context.known[name].pending[1] = context.now_seconds
+    context.now_seconds += milliseconds / 1000
+
+
+@when('"{name}" stayed silent for {milliseconds:d} ms')
+def stay_silent(context: Context, name: str, milliseconds: int) -> None:
+    """Give a request up."""
+    replicas.observe_silence(
+        context.known[name], milliseconds / 1000, USUAL, context.now_seconds
+    )
+
+
+@when('"{name}" fails {count:d} times')
+def fail(context: Context, name: str, count: int) -> None:
+    """Observe failures."""
+    for _ in range(count):
+        replicas.observe_failure(context.known[name], context.now_seconds)
+
+
+@when('no connection to "{name}" can be opened')
+def refuse_connection(context: Context, name: str) -> None:
+    """Observe a refused connection."""
+    replicas.observe_unreachable(context.known[name], context.now_seconds)
+
+
+@when(
+    '"{name}" reports {running:d} running and {waiting:d} waiting of'
+    ' {slots:d} slots'
+)
+def report_load(
+    context: Context, name: str, running: int, waiting: int, slots: int
+) -> None:
+    """Take a report in."""
+    load = replicas.Load(running, waiting, slots)
+    replicas.observe_load(context.known[name], load, context.now_seconds)
+
+
+@when('{seconds:g} seconds pass at the targets')
+def pass_seconds(context: Context, seconds: float) -> None:
+    """Let time pass."""
+    context.now_seconds += seconds
+
+
+@then('the next request goes to "{name}"')
+def expect_asked(context: Context, name: str) -> None:
+    """Expect it whatever chance says."""
+    assert _asked(context) == {name}, _asked(context)
+
+
+@then('chance decides between "{one}" and "{other}"')
+def expect_both(context: Context, one: str, other: str) -> None:
+    """Expect that chance decides."""
+    assert _asked(context) == {one, other}, _asked(context)
+
+
+@then('the next request goes nowhere')
+def expect_none(context: Context) -> None:
+    """Expect no target."""
+    assert _asked(context) == {None}
+
+
+@then(
+    'of {limit:d} connections of a near target, {near:d} near and {far:d} far'
+    ' instances get {near_share:d} and {far_share:d} each'
+)
+def expect_shares(
+    context: Context,
+    limit: int,
+    near: int,
+    far: int,
+    near_share: int,
+    far_share: int,
+) -> None:
+    """Expect shares."""
+    zones = _zones(near, far)
+    if near:
+        assert connection_share(limit, 'near', 'near', zones) == near_share
+    assert connection_share(limit, 'near', 'far', zones) == far_share
+
+
+@then('all shares together stay below the limit')
+def expect_below(context: Context) -> None:
+    """Expect that instances that believe alike stay below it together."""
+    for near in range(1, 10):
+        zones = _zones(near, 12 - near)
+        total = sum(connection_share(41, 'near', zone, zones) for zone in zones)
+        assert total < 41, (near, total)
+
+
+def _zones(near: int, far: int) -> list[str]:
+    return ['near' if number < near else 'far' for number in range(near + far)]
+
+
+def _asked(context: Context) -> set[str | None]:
+    chance = random.Random(5)
+    chosen = [
+        replicas.choose_replica(
+            context.known.values(),
+            USUAL,
+            'near',
+            context.now_seconds,
+            chance.random(),
+        )
+        for _ in range(200)
+    ]
+    return {rep.entry.target if rep else None for rep in chosen}
--- /dev/null
+++ b/tests/steps/sharded.py
@@ -0,0 +1,274 @@
+"""Steps on one request to one service or to many shards."""
+
+import random
+from collections import deque
+from types import MappingProxyType
+
+from behave import given, register_type, then, when
+from behave.runner import Context
+from parse import with_pattern
+
+from celeryturn.decisions import extra_load, legs, sharded
+from celeryturn.decisions.replicas import Replica, Usual
+from celeryturn.decisions.replies import TargetReply, Verdict
+from tests.support.entries import make_entry
+
+START_SECONDS = 1000.0
+USUAL = Usual(typical_seconds=0.02, stall_seconds=0.08, objective_seconds=0.2)
+HEDGE_SECONDS = 0.05
+BOUNDS = extra_load.ExtraLoadBounds(0.2, 58)
+REQUESTS_PER_SECOND = 12
+WINDOW_SECONDS = 10
+SECONDS = 60
+FIRST_HEDGE_SECOND = 20
+VERDICTS = MappingProxyType(
+    {
+        'fail': Verdict.FAILED,
+        'are shed': Verdict.SHED,
+        'are lost': Verdict.LOST,
+        'are not sent': Verdict.NOT_SENT,
+        'succeed': Verdict.SUCCEEDED,
+    }
+)
+
+
+@with_pattern('[0-9 ]*[0-9]')
+def _numbers(text: str) -> list[int]:
+    return [int(number) for number in text.split()]
+
+
+register_type(Numbers=_numbers)
+
+
+@given(
+    'an idempotent request to {shards:d} shards of {targets:d} targets, of'
+    ' which {least:d} must reply'
+)
+def given_request(
+    context: Context, shards: int, targets: int, least: int
+) -> None:
+    """Plan a request."""
+    _plan(context, shards, targets, least=least, is_idempotent=True)
+
+
+@given('a request that must run once to {targets:d} targets')
+def given_once(context: Context, targets: int) -> None:
+    """Plan a request that is not idempotent."""
+    _plan(context, 1, targets, least=1, is_idempotent=False)
+
+
+@given('no extra load is left')
+def given_no_budget(context: Context) -> None:
+    """Empty the budget."""
+    context.has_budget = False
+
+
+@when('it begins')
+def begin(context: Context) -> None:
+    """Begin the request."""
+    _apply(context, sharded.begin(context.request, _view(context)))
+
+
+@when('the attempts {numbers:Numbers} {outcome}')
+def end_attempts(context: Context, numbers: list[int], outcome: str) -> None:
+    """End attempts alike."""
+    reply = TargetReply(VERDICTS[outcome], signature='s')
+    for number in numbers:
+        actions = sharded.on_reply(
+            context.request, number, reply, _view(context)
+        )
+        _apply(context, actions)
+
+
+@when('{milliseconds:d} ms pass')
+def pass_milliseconds(context: Context, milliseconds: int) -> None:
+    """Let time pass and wake the request when it asked for it."""
+    until_seconds = context.request_seconds + milliseconds / 1000
+    while context.wake_seconds <= until_seconds:
+        context.request_seconds = context.wake_seconds
+        context.wake_seconds = float('inf')
+        _apply(context, sharded.on_wake(context.request, _view(context)))
+        if context.request.is_finished:
+            break
+    context.request_seconds = until_seconds
+
+
+@when('its caller goes')
+def go(context: Context) -> None:
+    """Abandon the request."""
+    _apply(context, sharded.abandon(context.request))
+
+
+@then('{count:d} of its attempts are under way')
+def expect_under_way(context: Context, count: int) -> None:
+    """Expect attempts."""
+    assert len(context.request.under_way) == count
+
+
+@then('{count:d} attempts were sent')
+def expect_sent(context: Context, count: int) -> None:
+    """Expect sends."""
+    assert len(context.sent) == count, context.sent
+
+
+@then('nothing was sent')
+def expect_nothing_sent(context: Context) -> None:
+    """Expect no send."""
+    assert not context.sent
+
+
+@then('no target was asked twice')
+def expect_distinct(context: Context) -> None:
+    """Expect distinct targets."""
+    names = [attempt.replica.entry.target for attempt in context.sent]
+    assert len(set(names)) == len(names), names
+
+
+@then('attempt {number:d} was cancelled')
+def expect_cancelled(context: Context, number: int) -> None:
+    """Expect a cancellation."""
+    assert number in context.cancelled, context.cancelled
+
+
+@then('it is finished with {count:d} parts')
+def expect_finished(context: Context, count: int) -> None:
+    """Expect the end."""
+    assert context.request.is_finished
+    assert context.request.success_count == count
+    assert not context.request.under_way
+
+
+@then('it is not finished')
+def expect_open(context: Context) -> None:
+    """Expect that it goes on."""
+    assert not context.request.is_finished
+
+
+@then('it may have run')
+def expect_maybe_run(context: Context) -> None:
+    """Expect doubt."""
+    assert sharded.may_have_run(context.request)
+
+
+@then('it surely did not run')
+def expect_not_run(context: Context) -> None:
+    """Expect no doubt."""
+    assert not sharded.may_have_run(context.request)
+
+
+@then(
+    '{count:d} instances that hedge whenever they may stay within {ratio:g}'
+    ' and {slack:d} in any 10 seconds'
+)
+def expect_within(
+    context: Context, count: int, ratio: float, slack: int
+) -> None:
+    """Spend all there is, after a rest."""
+    spent, needed = _simulate(count, restart_second=None)
+    _expect_bound(spent, needed, ratio, slack)
+
+
+@then('{count:d} instances that all start anew in between do so too')
+def expect_within_restart(context: Context, count: int) -> None:
+    """Spend all there is, twice."""
+    spent, needed = _simulate(count, restart_second=25)
+    _expect_bound(spent, needed, BOUNDS.ratio, BOUNDS.slack_count)
+
+
+def _plan(
+    context: Context,
+    shards: int,
+    targets: int,
+    *,
+    least: int,
+    is_idempotent: bool,
+) -> None:
+    context.request_seconds = START_SECONDS
+    context.wake_seconds = float('inf')
+    context.has_budget = True
+    context.sent = []
+    context.cancelled = []
+    names = tuple(f's{number}' for number in range(shards))
+    context.replicas = {
+        name: [
+            Replica(make_entry(f'{name}-{number}'), START_SECONDS)
+            for number in range(targets)
+        ]
+        for name in names
+    }
+    plan = legs.Plan(
+        services=names,
+        least_count=least,
+        is_idempotent=is_idempotent,
+        attempt_limit=2,
+        started_seconds=START_SECONDS,
+        due_seconds=START_SECONDS + 0.2,
+        deadline_seconds=START_SECONDS + 1,
+    )
+    context.request = legs.Sharded(plan)
+
+
+def _view(context: Context) -> legs.View:
+    return legs.View(
+        now_seconds=context.request_seconds,
+        serving=context.replicas.__getitem__,
+        usual=USUAL,
+        hedge_after_seconds=HEDGE_SECONDS,
+        zone='near',
+        random=random.Random(3).random,
+        spend=lambda service, reserve: context.has_budget,
+    )
+
+
+def _apply(context: Context, actions: legs.Actions) -> None:
+    for action in actions:
+        match action:
+            case legs.Send(attempt):
+                context.sent.append(attempt)
+            case legs.Cancel(attempt):
+                context.cancelled.append(attempt.number)
+            case legs.Wake(at_seconds):
+                context.wake_seconds = at_seconds
+
+
+def _simulate(
+    count: int, restart_second: int | None
+) -> tuple[list[int], list[int]]:
+    capacity = extra_load.capacity_of(BOUNDS, count)
+    budgets = [extra_load.ExtraLoad(capacity) for _ in range(count)]
+    spent = []
+    for second in range(SECONDS):
+        if second == restart_second:
+            budgets = [extra_load.ExtraLoad(capacity) for _ in budgets]
+        # Nobody hedges at first, so that every bucket is full.
+        is_spending = second >= FIRST_HEDGE_SECOND
+        spent.append(
+            sum(
+                _spend_second(budget, capacity, is_spending=is_spending)
+                for budget in budgets
+            )
+        )
+    return spent, [count * REQUESTS_PER_SECOND for _ in spent]
+
+
+def _spend_second(
+    budget: extra_load.ExtraLoad, capacity: float, *, is_spending: bool
+) -> int:
+    before = budget.extra_count
+    for _ in range(REQUESTS_PER_SECOND):
+        extra_load.earn(budget, BOUNDS, capacity)
+        is_spent = is_spending
+        while is_spent:
+            is_spent = extra_load.spend(budget)
+    return budget.extra_count - before
+
+
+def _expect_bound(
+    spent: list[int], needed: list[int], ratio: float, slack: float
+) -> None:
+    window: deque[tuple[int, int]] = deque(maxlen=WINDOW_SECONDS)
+    for pair in zip(spent, needed, strict=True):
+        window.append(pair)
+        extra = sum(known for known, _ in window)
+        bound = ratio * sum(known for _, known in window) + slack
+        assert extra <= bound, (extra, bound)
--- /dev/null
+++ b/tests/support/routed.py
@@ -0,0 +1,212 @@
+"""The world of a scenario on published routes: store, targets, instances."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from typing import Any, Final
+
+import msgspec
+
+from celeryturn.decisions.extra_load import ExtraLoadBounds
+from celeryturn.forwarding.app import ForwardingApplication
+from celeryturn.forwarding.settings import ForwardingSettings, Grace
+from celeryturn.http.client import Connection, connect
+from celeryturn.http.messages import HttpReply, HttpRequest
+from celeryturn.settings import Endpoint, Settings, Timing
+from examples.fleet import free_ports
+from standins.shard_target import ShardTarget
+from standins.store import StoreStandin
+
+ADDRESS: Final = '127.0.0.1'
+HOST: Final = 'trips.example'
+ZONE: Final = 'near'
+WAIT_SECONDS: Final = 15.0
+POLL_SECONDS: Final = 0.005
+PORTS: Final = 4
+
+
+class RoutedWorld:
+    """Everything of one scenario.
+
+    :param store: The platform's store.
+    :param targets: Targets by identifier.
+    :param applications: Instances, in the order of their start.
+    :param config: The configuration as the operator wrote it last.
+    """
+
+    def __init__(self) -> None:
+        self.store = StoreStandin()
+        self.targets: dict[str, ShardTarget] = {}
+        self.applications: list[ForwardingApplication] = []
+        self.config: dict[str, Any] = {}
+        self._running: list[asyncio.Task[None]] = []
+        self._connections: list[Connection] = []
+        self._numbers = itertools.count(1)
+
+    async def start_store(self) -> None:
+        """Start the store."""
+        await self.store.server.start(ADDRESS, 0)
+
+    async def start_targets(self, service: str, count: int) -> None:
+        """Start and list the targets of a service."""
+        for number in range(count):
+            target = ShardTarget(f'{service}-{number}')
+            await target.start(ADDRESS)
+            self.targets[target.target] = target
+            self.list_target(target.target, service)
+
+    def list_target(self, target: str, service: str, **fields: Any) -> None:
+        """Write the entry of a target, as targets do."""
+        entry = {
+            'Service': service,
+            'Address': f'{ADDRESS}:{self.targets[target].port}',
+            'Zone': ZONE,
+            'Version': 'v1',
+            'Slots': 4,
+            'State': 'ready',
+            'ColdLeftMs': 0,
+            'Sequence': next(self._numbers),
+            **fields,
+        }
+        self.store.put(f'servers/{target}', msgspec.json.encode(entry))
+
+    def publish(self, version: int, *routes: dict[str, Any]) -> None:
+        """Write a configuration, as the operator does."""
+        names = {
+            name
+            for route in routes
+            for name in (*route.get('Gather', ()), route.get('Service'))
+            if name
+        }
+        services = [
+            {'Name': name, 'MaxConns': 41, 'HealthPath': '/health'}
+            for name in sorted(names)
+        ]
+        self.config = {
+            'Version': version,
+            'Routes': list(routes),
+            'Services': services,
+            'Limits': {
+                'MaxHeaderBytes': 16384,
+                'MaxBodyBytes': 262144,
+                'HeaderTimeoutMs': 3000,
+                'IdleTimeoutMs': 15000,
+            },
+        }
+        self.store.put('op/config', msgspec.json.encode(self.config))
+
+    async def start_instance(self, **grace: float) -> ForwardingApplication:
+        """Start an instance that knows the others as its seeds."""
+        callers, peers, ready, directory = (
+            Endpoint(ADDRESS, port) for port in free_ports(PORTS)
+        )
+        store = Endpoint(ADDRESS, self.store.server.port)
+        settings = ForwardingSettings(
+            instance=Settings(
+                instance=f'entry-{len(self.applications)}',
+                availability_zone=ZONE,
+                regions={'r': [ZONE]},
+                callers=callers,
+                peers=peers,
+                configuration=store,
+                instances=store,
+                timing=Timing(gossip_every_seconds=0.05),
+            ),
+            ready=ready,
+            directory=directory,
+            seeds=tuple(
+                known.tier.settings.instance.peers
+                for known in self.applications
+            ),
+            extra_load=ExtraLoadBounds(),
+            grace=Grace(
+                shutdown_seconds=grace.get('shutdown_seconds', 1.0),
+                advice_keep_seconds=1.0,
+            ),
+        )
+        application = ForwardingApplication(settings)
+        await application.start()
+        self.applications.append(application)
+        self._running.append(asyncio.create_task(application.run()))
+        return application
+
+    async def wait_for(self, condition: Callable[[], object]) -> None:
+        """Wait until something holds."""
+        async with asyncio.timeout(WAIT_SECONDS):
+            while not condition():
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def wait_ready(self) -> None:
+        """Wait until every instance is ready and knows all targets."""
+        await self.wait_for(
+            lambda: all(
+                known.tier.instance.is_ready
+                and len(known.tier.directory.services) == len(self.targets)
+                for known in self.applications
+            )
+        )
+
+    async def connect(self, endpoint: Endpoint) -> Connection:
+        """Open a connection as a caller does."""
+        connection = await connect(endpoint.address, endpoint.port, 1)
+        self._connections.append(connection)
+        return connection
+
+    async def ask(self, request: HttpRequest, instance: int = 0) -> HttpReply:
+        """Send a caller's request on a connection of its own."""
+        settings = self.applications[instance].tier.settings
+        connection = await self.connect(settings.instance.callers)
+        return await connection.exchange_within(request, WAIT_SECONDS)
+
+    async def close(self) -> None:
+        """Close everything."""
+        for connection in self._connections:
+            connection.close()
+        for task in self._running:
+            task.cancel()
+        for application in self.applications:
+            await application.stop()
+        for target in self.targets.values():
+            await target.stop()
+        await self.store.server.stop(0)
+        await asyncio.gather(*self._running, return_exceptions=True)
+
+
+def plain_route(service: str, prefix: str = '/one/', **fields: Any) -> Any:
+    """Build a route to one service."""
+    return _route(prefix, {'Service': service, **fields})
+
+
+def gather_route(
+    shards: list[str], prefix: str = '/all/', **fields: Any
+) -> Any:
+    """Build a route over many shards."""
+    gather = {'Gather': shards, 'TopK': 3, 'MinPartShare': 0.6}
+    return _route(prefix, {**gather, **fields})
+
+
+def caller_request(
+    path: str, number: int = 1, *, wait_ms: int = 2000, method: str = 'GET'
+) -> HttpRequest:
+    """Build a caller's request."""
+    headers = (
+        ('host', HOST),
+        ('x-attempt-id', f'attempt-{number}'),
+        ('x-deadline-remaining', str(wait_ms)),
+    )
+    body = b'' if method == 'GET' else b'a booking'
+    return HttpRequest(method, path, headers, body)
+
+
+def _route(prefix: str, fields: dict[str, Any]) -> dict[str, Any]:
+    return {
+        'Name': f'route {prefix}',
+        'Host': HOST,
+        'Prefix': prefix,
+        'Kind': 'safe',
+        'TimeoutMs': 2000,
+        'TargetLatencyMs': 1000,
+        'MaxAttempts': 2,
+        'Priority': 1,
+        **fields,
+    }
--- a/tests/tools.feature
+++ b/tests/tools.feature
@@ -11,6 +11,21 @@
     Then each kind of error has an answer with a code of its own
     And each event has a number of its own
 
+  Scenario: Only the platform's folder knows the platform's names
+    Then the package passes the check of names
+    And the platform's folder is under a tenth of the package
+
+  Scenario Outline: A name of the platform elsewhere is found
+    When a module has the line "<line>"
+    Then the check of names finds it
+
+    Examples:
+      | line                        |
+      | key = 'X-Attempt-Id'        |
+      | path = '/v1/kv-range'       |
+      | share = body['MinPartShare'] |
+      | TopK = 3                    |
+
   Scenario: The decisions import nothing that acts
     Then the decisions pass the import check
 
--- /dev/null
+++ b/tools/boundary.py
@@ -0,0 +1,104 @@
+"""Check that only ``celeryturn/platform`` knows the platform's names."""
+
+import ast
+import re
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Final
+
+PACKAGE: Final = Path('celeryturn')
+ADAPTER: Final = 'platform'
+LARGEST_SHARE: Final = 0.1
+
+NAMES: Final = re.compile(
+    '|'.join(
+        (
+            '(?i:x-attempt-id)',
+            '(?i:x-deadline-remaining)',
+            '(?i:x-response-stamp)',
+            '(?i:x-target-instance)',
+            '(?i:x-server-load)',
+            '(?i:x-not-executed)',
+            '(?i:x-part-stamps)',
+            '(?i:x-missing-parts)',
+            '(?i:x-instance-id)',
+            '/v1/kv-',
+            '/v1/resolve',
+            '/v1/readiness',
+            'op/config',
+            r'\bservers/',
+            r'\baddrs\b',
+            r'\bttl_s\b',
+            'CELERYTURN_BOOT',
+            r'\b(Gather|TopK|MinPartShare|MaxAttempts|TargetLatencyMs)\b',
+            r'\b(TimeoutMs|MaxConns|ColdLeftMs|WaitMs|CurrentRev|HasMore)\b',
+            r'\b(HealthPath|MaxBodyBytes|IdleTimeoutMs|HeaderTimeoutMs)\b',
+        )
+    ),
+)
+
+
+def faults(package: Path) -> Iterator[str]:
+    """Find names of the platform outside its folder.
+
+    :param package: Folder of the package.
+    :returns: A line for each, with its place.
+    """
+    for path in sorted(package.glob('**/*.py')):
+        if ADAPTER not in path.relative_to(package).parts:
+            yield from _named(path)
+
+
+def share(package: Path) -> float:
+    """Work out how large the platform's folder is.
+
+    :param package: Folder of the package.
+    :returns: Its share of the package's lines.
+    """
+    sizes = {
+        path: len(path.read_text(encoding='utf-8').splitlines())
+        for path in package.glob('**/*.py')
+    }
+    own = sum(
+        size
+        for path, size in sizes.items()
+        if ADAPTER in path.relative_to(package).parts
+    )
+    return own / sum(sizes.values())
+
+
+def _named(path: Path) -> Iterator[str]:
+    for node in ast.walk(ast.parse(path.read_text(encoding='utf-8'))):
+        for text in _words(node):
+            found = NAMES.search(text)
+            if found:
+                yield f'{path}:{_line(node)}: names {found.group()!r}'
+
+
+def _words(node: ast.AST) -> Iterator[str]:
+    if isinstance(node, ast.Constant) and isinstance(node.value, str):
+        yield node.value
+    elif isinstance(node, ast.Name):
+        yield node.id
+    elif isinstance(node, ast.Attribute):
+        yield node.attr
+
+
+def _line(node: ast.AST) -> int:
+    return getattr(node, 'lineno', 0)
+
+
+def main() -> None:
+    """Check the package."""
+    found = list(faults(PACKAGE))
+    size = share(PACKAGE)
+    if size > LARGEST_SHARE:
+        found.append(f'{PACKAGE / ADAPTER} is {size:.0%} of the package')
+    for fault in found:
+        sys.stderr.write(f'{fault}\n')
+    sys.exit(1 if found else 0)
+
+
+if __name__ == '__main__':
+    main()
