--- a/celeryturn/app.py
+++ b/celeryturn/app.py
@@ -7,6 +7,7 @@
 from typing import Any, Final
 
 from celeryturn.decisions import membership
+from celeryturn.decisions.document import Published
 from celeryturn.entry.routes import Entry, answer_request, refuse
 from celeryturn.errors import CeleryturnError, Fault, Kind
 from celeryturn.events import (
@@ -22,7 +23,7 @@
 from celeryturn.peers import network as peers
 from celeryturn.platform import watcher
 from celeryturn.settings import Settings
-from celeryturn.targets.links import Links, close_links
+from celeryturn.targets.links import Links, close_links, prune_links
 from celeryturn.targets.returns import watch_returns
 
 MILLISECONDS: Final = 1000
@@ -49,6 +50,7 @@
             settings.timing.connect_timeout_seconds,
             settings.callers.address,
         )
+        self.instance.on_adopted.append(self._prune_links)
         self.network = peers.Network(self.instance)
         entry = Entry(self.instance, self.links, self.drain)
         self.server = HttpServer(
@@ -122,6 +124,10 @@
         await close_links(self.links)
         log(STOPPED, instance=self.instance.settings.instance)
 
+    def _prune_links(self, adopted: Published) -> None:
+        document = adopted.document
+        prune_links(self.links, document.service, document.targets)
+
     def _begin(self, *coroutines: Coroutine[Any, Any, None]) -> None:
         loop = asyncio.get_running_loop()
         for coroutine in coroutines:
--- a/celeryturn/queries/explain.py
+++ b/celeryturn/queries/explain.py
@@ -64,7 +64,7 @@
     :raises CeleryturnError: When the service is not known.
     """
     service = service_of(instance, ask.service)
-    planned = plan(instance, ask)
+    planned = plan(instance, ask, instance.clock())
     return Explanation(
         service=ask.service,
         configuration_version=planned.configuration_version,
--- a/celeryturn/queries/read.py
+++ b/celeryturn/queries/read.py
@@ -12,18 +12,19 @@
 from celeryturn.targets.links import Links
 
 
-def plan(instance: Instance, ask: Ask) -> QueryPlan:
+def plan(instance: Instance, ask: Ask, arrived_seconds: float) -> QueryPlan:
     """Pin what an answer depends on.
 
     :param instance: The instance.
     :param ask: What the caller asks.
+    :param arrived_seconds: When it asked; its deadline counts from here.
     :returns: The plan.
     :raises CeleryturnError: When the service is not known.
     """
     service = service_of(instance, ask.service)
     now_seconds = instance.clock()
     choice = fleet.current_snapshot(service, now_seconds)
-    return plan_query(service.document, ask, choice, now_seconds)
+    return plan_query(service.document, ask, choice, arrived_seconds)
 
 
 async def read(instance: Instance, links: Links, ask: Ask) -> QueryAnswer:
@@ -36,10 +37,11 @@
     :raises CeleryturnError: When the service or the record is not known,
         or nothing at all could be read.
     """
+    arrived_seconds = instance.clock()
     service = service_of(instance, ask.service)
     await wait_for_scout(instance, ask.service)
-    planned = plan(instance, ask)
-    if is_hopeless(planned, service.views, planned.started_seconds):
+    planned = plan(instance, ask, arrived_seconds)
+    if is_hopeless(planned, service.views, instance.clock()):
         raise CeleryturnError(
             Kind.OVERLOADED, 'too much waits for it to be answered in time'
         )
--- a/celeryturn/targets/links.py
+++ b/celeryturn/targets/links.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import Final, NamedTuple, TypeAlias
 
 from celeryturn.decisions import limits
@@ -183,9 +183,23 @@
             _retire(link)
         link = Link(address, view)
         links.links[place] = link
+        _bound(links)
     return link
 
 
+def prune_links(links: Links, service: str, targets: Container[str]) -> None:
+    """Give up the links to targets that left the configuration.
+
+    :param links: All links.
+    :param service: Name of the service.
+    :param targets: Names that are in the configuration in force.
+    """
+    for place in tuple(links.links):
+        known_service, target = place
+        if known_service == service and target not in targets:
+            _retire(links.links.pop(place))
+
+
 def submit(links: Links, link: Link, exchange: Exchange) -> bool:
     """Offer an exchange to its target.
 
@@ -345,6 +359,12 @@
         connection.close()
 
 
+def _bound(links: Links) -> None:
+    # The oldest goes first; what is under way on it ends by itself.
+    while len(links.links) > MOST_LINKS:
+        _retire(links.links.pop(next(iter(links.links))))
+
+
 def _retire(link: Link) -> None:
     link.is_current = False
     while link.idle:
--- a/tests/entry/answers.feature
+++ b/tests/entry/answers.feature
@@ -48,6 +48,17 @@
     Then every answer covers 4 of 4 shards
     And at most 4 sub-requests were refused for their snapshot
 
+  Scenario: Waiting for another search to find out the snapshot takes from the deadline
+    Given the data has moved on to snapshot 500 while nobody asked
+    When a search of 50 ms waits 90 ms for another to find out the snapshot
+    Then it is refused as not run
+
+  Scenario: Links to targets that left the configuration are given up
+    When a caller searches "reservas"
+    And operators publish that "s00-0" of "reservas" is gone
+    And the instances serve version 2 of "reservas"
+    Then no instance holds a link to "s00-0"
+
   Scenario: An index that moves on under a query
     When operators publish index 2 of "reservas" with 6 shards
     And the instances serve version 2 of "reservas"
--- a/tests/steps/system.py
+++ b/tests/steps/system.py
@@ -242,6 +242,30 @@
     context.marks = {name: 0}
 
 
+@when('operators publish that "{name}" of "{service}" is gone')
+def publish_gone(context: Context, name: str, service: str) -> None:
+    """Publish a document without a target."""
+    raw = context.world.documents[service]
+    targets = {key: tgt for key, tgt in raw['targets'].items() if key != name}
+    indexes = [
+        {**index, 'shards': _without(index['shards'], name)}
+        for index in raw['indexes']
+    ]
+    first = indexes[0]['shards']
+    homes = {
+        shard: {**home, 'target': first[shard]['replicas'][0], 'epoch': 2}
+        for shard, home in raw['homes'].items()
+    }
+    _publish(
+        context,
+        service,
+        version=2,
+        targets=targets,
+        indexes=indexes,
+        homes=homes,
+    )
+
+
 @when('operators hold the homes of "{service}" in version {version:d}')
 def publish_held(context: Context, service: str, version: int) -> None:
     """Publish the step that stops bookings."""
@@ -364,6 +388,18 @@
     _script(context, ' '.join(context.world.targets), **fields)
 
 
+def _without(
+    shards: dict[str, dict[str, Any]], name: str
+) -> dict[str, dict[str, Any]]:
+    return {
+        shard: {
+            **part,
+            'replicas': [known for known in part['replicas'] if known != name],
+        }
+        for shard, part in shards.items()
+    }
+
+
 def _target_entry(context: Context, name: str) -> dict[str, Any]:
     targets: dict[str, dict[str, Any]] = {}
     for document in context.world.documents.values():
