After a restart of all: peers found sooner, full targets left alone

Ruled out: the store (it answered within 15 ms). Change: seeds are dialled again after 0.1 s until a peer is heard; after a reset of a new connection no other is opened for a second beside those held; idle connections are closed after 8 s.

--- a/celeryturn/forwarding/app.py
+++ b/celeryturn/forwarding/app.py
@@ -30,7 +30,7 @@
 
 MILLISECONDS: Final = 1000
 READY_CHECK_SECONDS: Final = 0.02
-FIRST_PEER_SECONDS: Final = 1.5
+FIRST_PEER_SECONDS: Final = 1.0
 FLUSH_SECONDS: Final = 0.2
 # Parts of the grace of a shutdown: until new requests are refused, until
 # the port is closed, and until what still runs is answered.
--- a/celeryturn/forwarding/follow.py
+++ b/celeryturn/forwarding/follow.py
@@ -28,6 +28,7 @@
 GATHER_SECONDS: Final = 0.4
 OVERTAKEN_SECONDS: Final = 0.8
 EXPIRE_EVERY_SECONDS: Final = 0.25
+IDLE_SECONDS: Final = 8.0
 
 
 class OvertakenError(StoreError):
@@ -78,8 +79,9 @@
     """
     while True:
         await asyncio.sleep(EXPIRE_EVERY_SECONDS)
-        directory.expire(tier.directory, tiers.now())
-        tiers.prune(tier)
+        now_seconds = tiers.now()
+        directory.expire(tier.directory, now_seconds)
+        tiers.prune(tier, now_seconds - IDLE_SECONDS)
 
 
 async def _follow_once(tier: Tier, client: StoreClient) -> None:
--- a/celeryturn/forwarding/pools.py
+++ b/celeryturn/forwarding/pools.py
@@ -7,7 +7,12 @@
 from typing import Final, NamedTuple, TypeAlias
 
 from celeryturn.clock import running_seconds
-from celeryturn.http.client import Accepts, Connection, connect
+from celeryturn.http.client import (
+    Accepts,
+    Connection,
+    ExchangeError,
+    connect,
+)
 from celeryturn.http.messages import HttpReply, HttpRequest
 
 Outcome: TypeAlias = HttpReply | Exception
@@ -15,6 +20,7 @@
 
 CONNECT_SECONDS: Final = 1.0
 IDLE_MARGIN_SECONDS: Final = 0.6
+FULL_SECONDS: Final = 1.0
 LEAST_SHARE: Final = 2
 
 
@@ -84,11 +90,14 @@
     :param waiting: Exchanges without a connection, by rank and age.
     :param opening: Tasks that open connections.
     :param is_current: Whether connections are kept.
+    :param full_until_seconds: Until then no connection beyond those held is
+        opened, since the target reset a new one.
     """
 
     __slots__ = (
         '_last_ticket',
         'address',
+        'full_until_seconds',
         'held_count',
         'idle',
         'is_current',
@@ -107,6 +116,7 @@
         self.waiting: list[tuple[int, int, Exchange]] = []
         self.opening: set[asyncio.Task[None]] = set()
         self.is_current = True
+        self.full_until_seconds = 0.0
         self._last_ticket = 0
 
     def next_ticket(self) -> int:
@@ -197,8 +207,11 @@
 
 
 def _may_open(pool: Pool) -> bool:
-    is_needed = len(pool.opening) < len(pool.waiting)
-    return is_needed and pool.held_count < max(pool.share, LEAST_SHARE)
+    if len(pool.opening) >= len(pool.waiting):
+        return False
+    if pool.held_count and running_seconds() < pool.full_until_seconds:
+        return False
+    return pool.held_count < max(pool.share, LEAST_SHARE)
 
 
 def _open(pool: Pool) -> None:
@@ -243,7 +256,12 @@
     exchange.connection = connection
     exchange.written_seconds = running_seconds()
 
+    is_new = not connection.reply_count
+
     def on_done(outcome: Outcome) -> None:
+        if is_new and isinstance(outcome, ExchangeError):
+            # Targets reset connections beyond the number they accept.
+            pool.full_until_seconds = running_seconds() + FULL_SECONDS
         exchange.connection = None
         exchange.is_ended = True
         if connection.is_idle:
--- a/celeryturn/forwarding/tier.py
+++ b/celeryturn/forwarding/tier.py
@@ -15,7 +15,7 @@
 from celeryturn.decisions.waits import Waits
 from celeryturn.errors import CeleryturnError
 from celeryturn.events import NOT_ADOPTED, TABLE_ADOPTED, log
-from celeryturn.forwarding.pools import Pool, close_pool
+from celeryturn.forwarding.pools import Pool, close_pool, drop_idle
 from celeryturn.forwarding.settings import ForwardingSettings
 from celeryturn.instance import Instance
 from celeryturn.platform.documents import decode_table
@@ -189,13 +189,20 @@
     return pool
 
 
-def prune(tier: Tier) -> None:
-    """Close connections to targets that are gone or leaving.
+def prune(tier: Tier, before_seconds: float) -> None:
+    """Close connections that are not needed.
+
+    A target counts those of a machine that lost power until it finds out;
+    the fewer are kept, the more it accepts after that.
 
     :param tier: The tier.
+    :param before_seconds: Idle ones that were last used before this time
+        are closed, and all to targets that are gone.
     """
-    for target in tuple(tier.pools):
-        if target not in tier.directory.services:
+    for target, pool in tuple(tier.pools.items()):
+        if target in tier.directory.services:
+            drop_idle(pool, before_seconds)
+        else:
             close_pool(tier.pools.pop(target))
 
 
--- a/celeryturn/http/client.py
+++ b/celeryturn/http/client.py
@@ -34,11 +34,13 @@
     :param is_open: Whether the transport is up.
     :param idle_seconds: How long the other side keeps it while it is idle,
         as far as it says so.
+    :param reply_count: Whole replies that came on it.
     """
 
     def __init__(self, host: str) -> None:
         self.is_open = False
         self.idle_seconds = math.inf
+        self.reply_count = 0
         self._host = host
         self._machine = h11.Connection(h11.CLIENT)
         self._transport: asyncio.Transport | None = None
@@ -222,6 +224,7 @@
         is_done = machine.our_state is h11.DONE and not surplus
         if is_done and machine.their_state is h11.DONE:
             machine.start_next_cycle()
+            self.reply_count += 1
             self._note_idle_time(reply)
         else:
             self.is_open = False
--- a/celeryturn/peers/network.py
+++ b/celeryturn/peers/network.py
@@ -26,6 +26,7 @@
 
 DIAL_SECONDS: Final = 2.0
 SEED_NAME: Final = 'seed'
+ALONE_SECONDS: Final = 0.1
 
 
 class Network:
@@ -97,7 +98,9 @@
             instance.membership, network.watched, instance.clock()
         )
         spread(network, changed)
-        await asyncio.sleep(every_seconds)
+        # Seeds may start a little later than this instance.
+        is_alone = network.seeds and not network.first_heard.is_set()
+        await asyncio.sleep(ALONE_SECONDS if is_alone else every_seconds)
 
 
 def behind(network: Network) -> list[str]:
@@ -238,7 +241,8 @@
     try:
         await _dial_once(network, name, url)
     except (OSError, WebSocketException):
-        await asyncio.sleep(network.instance.random())
+        longest_seconds = 1 if network.first_heard.is_set() else ALONE_SECONDS
+        await asyncio.sleep(longest_seconds * network.instance.random())
     finally:
         network.dialling.pop(name, None)
 
