From a request's identifier to its cause: request lines, story, why, metrics

Cause: on-call engineers have only logs and metrics; a partial answer told which shard it lacked and not what had been tried. Ruled out: writing through the library's file destination (it blocks). Before: no line named a request's attempts.

--- a/celeryturn/cli.py
+++ b/celeryturn/cli.py
@@ -8,11 +8,14 @@
 from urllib.parse import urlencode
 
 import msgspec
+from fire import decorators
 
+from celeryturn import story as stories
 from celeryturn import tables
 from celeryturn.client import ask
 from celeryturn.decisions.document import parse_document
 from celeryturn.errors import CeleryturnError
+from celeryturn.platform.node_settings import load_node_settings
 from celeryturn.settings import parse_settings, read_yaml
 from celeryturn.words import call
 
@@ -21,13 +24,17 @@
 DEFAULT_RECORDS: Final = 100
 
 
-def check(path: str) -> str:
+def check(path: str, platform: bool = False) -> str:
     """Check a settings file or a configuration document, without a daemon.
 
     Every fault is reported at once, with the path of its field.
 
     :param path: A YAML or JSON file.
+    :param platform: The file is one that the users' platform writes.
     """
+    if platform:
+        settings = load_node_settings(path)
+        return f'{path}: valid settings of {settings.instance.instance}'
     raw = read_yaml(path)
     if isinstance(raw, dict) and 'service' in raw:
         published = parse_document(msgspec.json.encode(raw))
@@ -36,8 +43,8 @@
             f'{path}: valid configuration of {document.service}, '
             f'version {document.version}'
         )
-    settings = parse_settings(raw, path)
-    return f'{path}: valid settings of {settings.instance}'
+    own_settings = parse_settings(raw, path)
+    return f'{path}: valid settings of {own_settings.instance}'
 
 
 def search(
@@ -218,6 +225,39 @@
     return f'{at} is leaving; it serves until kept advice has run out'
 
 
+def story(request: str, *files: str, json: bool = False) -> str:
+    """Tell from logs what happened to a request, and why.
+
+    :param request: Identifier of the request.
+    :param files: Logs of any number of instances; ``-`` is standard input.
+    :param json: Print the lines as JSON.
+    """
+    read = stories.read_lines(files or ('-',))
+    told = stories.of_request(read.lines, str(request))
+    if json:
+        return _json([line._asdict() for line in told])
+    known = stories.beliefs_before(read.lines, told[-1]) if told else []
+    parts = [stories.tell(known), stories.tell(told)]
+    parts.append(f'{len(told)} lines; {read.broken_count} could not be read')
+    return '\n'.join(part for part in parts if part)
+
+
+def why(*files: str, since: float = 0.0, json: bool = False) -> str:
+    """Count from logs why requests failed, were late or lack parts.
+
+    :param files: Logs of any number of instances; ``-`` is standard input.
+    :param since: Unix time; earlier lines are left out.
+    :param json: Print the counts as JSON.
+    """
+    read = stories.read_lines(files or ('-',))
+    counted = stories.causes(read.lines, since)
+    if json:
+        return _json(dict(counted))
+    rows = [f'{count:6} {cause}' for cause, count in counted.most_common()]
+    rows.append(f'{read.broken_count} lines could not be read')
+    return '\n'.join(rows)
+
+
 def main() -> None:
     """Entry point of the command-line tool."""
     commands = (
@@ -231,7 +271,11 @@
         config,
         explain,
         drain,
+        story,
+        why,
     )
+    # An identifier may look like a number and is none.
+    decorators.SetParseFn(str, 'request')(story)
     try:
         call({command.__name__: command for command in commands}, 'celeryturn')
     except CeleryturnError as error:
--- a/celeryturn/events.py
+++ b/celeryturn/events.py
@@ -5,6 +5,8 @@
 
 import eliot
 
+from celeryturn.output import LogStream
+
 
 class Event(NamedTuple):
     """One kind of log line.
@@ -59,7 +61,15 @@
 REFUSED: Final = Event(400, 'refused', 'A request was refused.')
 BOOKING_ENDED: Final = Event(401, 'booking_ended', 'A booking has an outcome.')
 FORWARDED_BADLY: Final = Event(
-    402, 'forwarded_badly', 'A forwarded request failed or lacks parts.'
+    402,
+    'forwarded_badly',
+    'A forwarded request failed, was late or lacks parts.',
+)
+FORWARDED: Final = Event(
+    403, 'forwarded', 'A forwarded request went well; one in many is told.'
+)
+LINES_DROPPED: Final = Event(
+    901, 'lines_dropped', 'More lines were due than may be written.'
 )
 TARGET_LEAVING: Final = Event(
     500, 'target_leaving', 'A target gets nothing new.'
@@ -93,9 +103,11 @@
     REFUSED,
     BOOKING_ENDED,
     FORWARDED_BADLY,
+    FORWARDED,
     TARGET_LEAVING,
     TARGET_RETURNED,
     INTERNAL_FAULT,
+    LINES_DROPPED,
 )
 
 
@@ -118,7 +130,7 @@
     )
 
 
-def log_to(stream: TextIO = sys.stderr) -> None:
+def log_to(stream: TextIO | LogStream = sys.stderr) -> None:
     """Send events to a stream, one JSON object a line.
 
     :param stream: An open text stream.
--- /dev/null
+++ b/celeryturn/forwarding/accounts.py
@@ -0,0 +1,140 @@
+"""The log line that tells how one request went, and why."""
+
+from typing import Final, TypedDict
+
+from celeryturn.decisions.legs import Leg
+from celeryturn.decisions.line_budget import may_write, take_dropped
+from celeryturn.decisions.replies import Verdict
+from celeryturn.events import (
+    FORWARDED,
+    FORWARDED_BADLY,
+    LINES_DROPPED,
+    REFUSED,
+    log,
+)
+from celeryturn.errors import CeleryturnError
+from celeryturn.forwarding import tier as tiers
+from celeryturn.forwarding.runner import Runner
+from celeryturn.forwarding.tier import Tier
+from celeryturn.http.messages import HttpRequest
+from celeryturn.platform import wire
+
+MILLISECONDS: Final = 1000
+
+
+class LegAccount(TypedDict):
+    """How one leg went.
+
+    :param service: Name of the service.
+    :param outcome: Why it ended as it did.
+    :param attempts: Target, milliseconds from admission to send and to the
+        end, and verdict of each attempt.
+    """
+
+    service: str
+    outcome: str
+    attempts: list[tuple[str, int, int | None, str]]
+
+
+def tell_request(
+    tier: Tier, request: HttpRequest, runner: Runner, status: int
+) -> None:
+    """Log a request that was forwarded.
+
+    :param tier: The tier.
+    :param request: The caller's request.
+    :param runner: How it went.
+    :param status: Status of the answer.
+    """
+    plan = runner.work.plan
+    state = runner.state
+    now_seconds = tiers.now()
+    is_late = now_seconds > plan.due_seconds
+    is_bad = is_late or state.success_count < len(state.legs)
+    if not may_write(tier.lines, now_seconds, is_important=is_bad):
+        return
+    log(
+        FORWARDED_BADLY if is_bad else FORWARDED,
+        request=wire.attempt_id(request),
+        route=runner.work.route.name,
+        version=tiers.table_version(tier),
+        status=status,
+        parts=f'{state.success_count}/{len(state.legs)}',
+        late=is_late,
+        elapsed_ms=_milliseconds(now_seconds - plan.started_seconds),
+        due_ms=_milliseconds(plan.due_seconds - plan.started_seconds),
+        deadline_ms=_milliseconds(plan.deadline_seconds - plan.started_seconds),
+        store_age_ms=_milliseconds(now_seconds - tier.progress.heard_seconds),
+        legs=_bad_legs(runner),
+    )
+
+
+def tell_refusal(
+    tier: Tier, request: HttpRequest, error: CeleryturnError
+) -> None:
+    """Log a request that was answered without a target's reply.
+
+    :param tier: The tier.
+    :param request: The caller's request.
+    :param error: Why.
+    """
+    now_seconds = tiers.now()
+    if not may_write(tier.lines, now_seconds, is_important=True):
+        return
+    log(
+        REFUSED,
+        request=wire.attempt_id(request),
+        kind=str(error.kind),
+        run=str(error.answer.run),
+        status=error.answer.status,
+        version=tiers.table_version(tier),
+        detail=error.detail,
+    )
+
+
+def tell_dropped(tier: Tier) -> None:
+    """Log how many lines were left out, if any were.
+
+    :param tier: The tier.
+    """
+    dropped_count = take_dropped(tier.lines)
+    if dropped_count:
+        log(LINES_DROPPED, count=dropped_count)
+
+
+def _bad_legs(runner: Runner) -> list[LegAccount]:
+    # Those that went well at once say nothing about the cause.
+    plan = runner.work.plan
+    return [
+        _account(runner, position, service, leg)
+        for position, (service, leg) in enumerate(
+            zip(plan.services, runner.state.legs, strict=True)
+        )
+        if leg.last_verdict is not Verdict.SUCCEEDED or len(leg.tried) > 1
+    ]
+
+
+def _account(
+    runner: Runner, position: int, service: str, leg: Leg
+) -> LegAccount:
+    outcome = 'silent' if leg.tried else 'no target'
+    if leg.last_verdict:
+        outcome = leg.last_verdict.value
+    started_seconds = runner.work.plan.started_seconds
+    attempts = [
+        (
+            past.target,
+            _milliseconds(past.sent_seconds - started_seconds),
+            _milliseconds(past.ended_seconds - started_seconds)
+            if past.ended_seconds
+            else None,
+            past.outcome,
+        )
+        for past in runner.history.values()
+        if past.leg == position
+    ]
+    return {'service': service, 'outcome': outcome, 'attempts': attempts}
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(seconds * MILLISECONDS)
--- a/celeryturn/forwarding/app.py
+++ b/celeryturn/forwarding/app.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Any, Final
 
 from celeryturn.decisions import membership
@@ -17,10 +17,13 @@
     log,
 )
 from celeryturn.forwarding import tier as tiers
-from celeryturn.forwarding.advice import answer_advice, answer_readiness
-from celeryturn.forwarding.follow import expire_lapsed, follow, hear_revision
+from celeryturn.forwarding.accounts import tell_refusal
+from celeryturn.forwarding.asides import make_asides
+from celeryturn.forwarding.follow import follow, hear_revision, keep_house
 from celeryturn.forwarding.forward import forward
+from celeryturn.forwarding.measures import Measures, count_request
 from celeryturn.forwarding.refusals import refusal_reply
+from celeryturn.forwarding.runner import Runner
 from celeryturn.forwarding.settings import ForwardingSettings
 from celeryturn.http.messages import HttpReply, HttpRequest
 from celeryturn.http.server import HttpServer
@@ -44,6 +47,7 @@
 
     :param tier: Its state.
     :param network: Links to peers.
+    :param measures: What is counted of requests.
     :param front: What callers speak to.
     :param leaving: Set when a graceful shutdown is to begin.
     """
@@ -61,13 +65,11 @@
             revision=lambda: self.tier.progress.revision,
             hear_revision=lambda heard: hear_revision(self.tier, heard),
         )
+        self.measures = Measures()
         self.front = HttpServer(self._forward, refusal_reply)
         self.tier.on_adopted.append(self._limit_callers)
         self.leaving = asyncio.Event()
-        self._asides = (
-            (settings.ready, _aside(self.tier, answer_readiness)),
-            (settings.directory, _aside(self.tier, answer_advice)),
-        )
+        self._asides = make_asides(self.tier, self.measures)
         self._loops: list[asyncio.Task[None]] = []
         self._following: asyncio.Task[None] | None = None
 
@@ -80,7 +82,10 @@
         settings = self.tier.settings
         faults = [
             await _listen(self.front, settings.instance.callers),
-            *[await _listen(server, at) for at, server in self._asides],
+            *[
+                await _listen(part.server, part.endpoint)
+                for part in self._asides
+            ],
             await self._listen_peers(),
         ]
         found = tuple(fault for fault in faults if fault is not None)
@@ -89,7 +94,7 @@
             raise CeleryturnError(Kind.INVALID_SETTINGS, 'cannot listen', found)
         log(STARTED, instance=settings.instance.instance)
         self._following = self._begin(follow(self.tier))
-        self._begin(expire_lapsed(self.tier))
+        self._begin(keep_house(self.tier))
         self._begin(peers.gossip(self.network))
         self._begin(self._become_ready())
 
@@ -146,8 +151,8 @@
         await asyncio.gather(*self._loops, return_exceptions=True)
         await peers.close_network(self.network)
         await self.front.stop(FLUSH_SECONDS)
-        for _, server in self._asides:
-            await server.stop(0)
+        for aside in self._asides:
+            await aside.server.stop(0)
         log(STOPPED, instance=self.tier.settings.instance.instance)
 
     async def _finish(self, until_seconds: float) -> None:
@@ -165,7 +170,24 @@
         limits.idle_seconds = table.limits.idle_seconds
 
     async def _forward(self, request: HttpRequest) -> HttpReply:
-        return await _guard(request, lambda: forward(self.tier, request))
+        try:
+            return await forward(self.tier, request, self._count)
+        except CeleryturnError as error:
+            return self._refuse(request, error)
+        except Exception as fault:
+            log(INTERNAL_FAULT, url=request.url, detail=repr(fault))
+            internal = CeleryturnError(Kind.INTERNAL, repr(fault))
+            return self._refuse(request, internal)
+
+    def _count(self, runner: Runner, status: int) -> None:
+        count_request(self.measures, runner, status)
+
+    def _refuse(
+        self, request: HttpRequest, error: CeleryturnError
+    ) -> HttpReply:
+        self.measures.refusals.inc({'kind': str(error.kind)})
+        tell_refusal(self.tier, request, error)
+        return refusal_reply(error)
 
     def _begin(self, loop: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(loop)
@@ -205,27 +227,6 @@
         return has_seeds and waited_seconds < FIRST_PEER_SECONDS
 
 
-async def _guard(
-    request: HttpRequest, answer: Callable[[], Awaitable[HttpReply]]
-) -> HttpReply:
-    try:
-        return await answer()
-    except CeleryturnError as error:
-        return refusal_reply(error)
-    except Exception as fault:
-        log(INTERNAL_FAULT, url=request.url, detail=repr(fault))
-        return refusal_reply(CeleryturnError(Kind.INTERNAL, repr(fault)))
-
-
-def _aside(
-    tier: tiers.Tier, answer: Callable[[tiers.Tier, HttpRequest], HttpReply]
-) -> HttpServer:
-    async def answerer(request: HttpRequest) -> HttpReply:
-        return answer(tier, request)
-
-    return HttpServer(answerer, refusal_reply)
-
-
 async def _listen(server: HttpServer, endpoint: Endpoint) -> Fault | None:
     try:
         await server.start(endpoint.address, endpoint.port)
--- /dev/null
+++ b/celeryturn/forwarding/asides.py
@@ -0,0 +1,47 @@
+"""What an instance answers beside callers' requests, each on its port."""
+
+from collections.abc import Callable
+from typing import NamedTuple, TypeAlias
+
+from celeryturn.forwarding.advice import answer_advice, answer_readiness
+from celeryturn.forwarding.measures import Measures
+from celeryturn.forwarding.refusals import refusal_reply
+from celeryturn.forwarding.tier import Tier
+from celeryturn.http.messages import HttpReply, HttpRequest
+from celeryturn.http.server import HttpServer
+from celeryturn.settings import Endpoint
+
+Answer: TypeAlias = Callable[[Tier, HttpRequest], HttpReply]
+
+
+class Aside(NamedTuple):
+    """One such listener.
+
+    :param endpoint: Where it listens.
+    :param server: What answers there.
+    """
+
+    endpoint: Endpoint
+    server: HttpServer
+
+
+def make_asides(tier: Tier, measures: Measures) -> tuple[Aside, ...]:
+    """Build the listeners for readiness, address advice and metrics.
+
+    :param tier: The tier.
+    :param measures: The collectors.
+    :returns: Servers that do not listen yet.
+    """
+    settings = tier.settings
+    return (
+        _aside(tier, settings.ready, answer_readiness),
+        _aside(tier, settings.directory, answer_advice),
+        _aside(tier, settings.metrics, measures.answer),
+    )
+
+
+def _aside(tier: Tier, endpoint: Endpoint, answer: Answer) -> Aside:
+    async def answerer(request: HttpRequest) -> HttpReply:
+        return answer(tier, request)
+
+    return Aside(endpoint, HttpServer(answerer, refusal_reply))
--- a/celeryturn/forwarding/follow.py
+++ b/celeryturn/forwarding/follow.py
@@ -9,6 +9,7 @@
 from celeryturn.errors import CeleryturnError
 from celeryturn.events import ENTRY_UNUSABLE, STORE_BACK, STORE_LOST, log
 from celeryturn.forwarding import tier as tiers
+from celeryturn.forwarding.accounts import tell_dropped
 from celeryturn.forwarding.tier import StoreProgress, Tier
 from celeryturn.platform.documents import (
     TABLE_KEY,
@@ -27,7 +28,7 @@
 RETRY_SECONDS: Final = 0.6
 GATHER_SECONDS: Final = 0.4
 OVERTAKEN_SECONDS: Final = 0.8
-EXPIRE_EVERY_SECONDS: Final = 0.25
+HOUSEKEEPING_SECONDS: Final = 0.25
 IDLE_SECONDS: Final = 8.0
 
 
@@ -72,16 +73,17 @@
     asyncio.get_running_loop().call_later(OVERTAKEN_SECONDS, check)
 
 
-async def expire_lapsed(tier: Tier) -> None:
-    """Drop targets whose entries stayed away, until cancelled.
+async def keep_house(tier: Tier) -> None:
+    """Drop what is not needed any more, now and then, until cancelled.
 
     :param tier: The tier.
     """
     while True:
-        await asyncio.sleep(EXPIRE_EVERY_SECONDS)
+        await asyncio.sleep(HOUSEKEEPING_SECONDS)
         now_seconds = tiers.now()
         directory.expire(tier.directory, now_seconds)
         tiers.prune(tier, now_seconds - IDLE_SECONDS)
+        tell_dropped(tier)
 
 
 async def _follow_once(tier: Tier, client: StoreClient) -> None:
@@ -126,6 +128,7 @@
 
 
 def _note_heard(tier: Tier) -> None:
+    tier.progress.heard_seconds = tiers.now()
     if tier.progress.is_lost:
         tier.progress.is_lost = False
         directory.note_store_back(tier.directory, tiers.now())
--- a/celeryturn/forwarding/forward.py
+++ b/celeryturn/forwarding/forward.py
@@ -1,7 +1,8 @@
 """Answer one caller's request by its route."""
 
 import math
-from typing import Final
+from collections.abc import Callable
+from typing import Final, TypeAlias
 
 from celeryturn.decisions import splitting
 from celeryturn.decisions.legs import Plan, Sharded
@@ -9,8 +10,8 @@
 from celeryturn.decisions.route_table import Route, match_route
 from celeryturn.decisions.waits import Waits, elapsed_seconds, observe_wait
 from celeryturn.errors import CeleryturnError, Kind
-from celeryturn.events import FORWARDED_BADLY, log
 from celeryturn.forwarding import tier as tiers
+from celeryturn.forwarding.accounts import tell_request
 from celeryturn.forwarding.runner import Runner, Work, has_run
 from celeryturn.forwarding.tier import Tier
 from celeryturn.http.messages import HttpReply, HttpRequest, header
@@ -19,14 +20,15 @@
 WAY_BACK_SECONDS: Final = 0.009
 ANSWER_SECONDS: Final = 0.005
 ROUNDING: Final = 1e-9
-MILLISECONDS: Final = 1000
+Count: TypeAlias = Callable[[Runner, int], None]
 
 
-async def forward(tier: Tier, request: HttpRequest) -> HttpReply:
+async def forward(tier: Tier, request: HttpRequest, count: Count) -> HttpReply:
     """Forward a request to the targets of its route.
 
     :param tier: The tier.
     :param request: The caller's whole request.
+    :param count: Gets how it went, and the status of the answer.
     :returns: The reply.
     :raises CeleryturnError: When there is no success and no target's own
         failure to pass on.
@@ -43,9 +45,19 @@
     finally:
         tier.under_way.discard(runner)
     reply = _success(route, runner, state)
-    if reply is None or state.success_count < len(state.legs):
-        _log_bad(tier, request, route, runner)
-    return _failure(route, runner) if reply is None else reply
+    outcome = _failure(route, runner) if reply is None else reply
+    status = _status(outcome)
+    count(runner, status)
+    tell_request(tier, request, runner, status)
+    if isinstance(outcome, CeleryturnError):
+        raise outcome
+    return outcome
+
+
+def _status(outcome: HttpReply | CeleryturnError) -> int:
+    if isinstance(outcome, CeleryturnError):
+        return outcome.answer.status
+    return outcome.status
 
 
 def _route(tier: Tier, request: HttpRequest) -> Route:
@@ -130,45 +142,19 @@
     ]
 
 
-def _failure(route: Route, runner: Runner) -> HttpReply:
+def _failure(route: Route, runner: Runner) -> HttpReply | CeleryturnError:
     state = runner.state
     if not has_run(runner):
-        raise CeleryturnError(Kind.NO_TARGET, 'no target took the request')
+        return CeleryturnError(Kind.NO_TARGET, 'no target took the request')
     is_over = tiers.now() >= state.plan.deadline_seconds
     if is_over:
-        raise CeleryturnError(Kind.TIMED_OUT, 'no answer in time')
+        return CeleryturnError(Kind.TIMED_OUT, 'no answer in time')
     if route.gather is not None:
-        raise CeleryturnError(
+        return CeleryturnError(
             Kind.COVERAGE_TOO_LOW,
             f'{state.success_count} of {len(state.legs)} shards',
         )
     reply = state.legs[0].reply
     if reply is not None:
         return wire.caller_reply(runner.replies[reply.signature])
-    raise CeleryturnError(Kind.REPLY_LOST, 'the reply of the target was lost')
-
-
-def _log_bad(
-    tier: Tier, request: HttpRequest, route: Route, runner: Runner
-) -> None:
-    state = runner.state
-    failed = {
-        service: str(leg.last_verdict.value) if leg.last_verdict else 'silent'
-        for service, leg in zip(state.plan.services, state.legs, strict=True)
-        if leg.last_verdict is not Verdict.SUCCEEDED
-    }
-    asked = {
-        service: sorted(leg.tried)
-        for service, leg in zip(state.plan.services, state.legs, strict=True)
-        if service in failed
-    }
-    elapsed_seconds = tiers.now() - state.plan.started_seconds
-    log(
-        FORWARDED_BADLY,
-        request=wire.attempt_id(request),
-        route=route.name,
-        version=tiers.table_version(tier),
-        failed=failed,
-        asked=asked,
-        elapsed_ms=round(elapsed_seconds * MILLISECONDS),
-    )
+    return CeleryturnError(Kind.REPLY_LOST, 'the reply of the target was lost')
--- a/celeryturn/forwarding/runner.py
+++ b/celeryturn/forwarding/runner.py
@@ -11,7 +11,7 @@
     sharded,
 )
 from celeryturn.decisions.pacing import hedge_after_seconds, usual_latency
-from celeryturn.decisions.replies import NOT_RUN, TargetReply, Verdict
+from celeryturn.decisions.replies import TargetReply, Verdict
 from celeryturn.decisions.route_table import Route
 from celeryturn.forwarding import tier as tiers
 from celeryturn.forwarding.pools import (
@@ -44,6 +44,26 @@
     plan: legs.Plan
 
 
+class Past:
+    """One attempt, for the log.
+
+    :param leg: Position of its leg.
+    :param target: Identifier of the target.
+    :param sent_seconds: When it was decided on.
+    :param ended_seconds: When its reply was in; zero where none came.
+    :param outcome: How it ended.
+    """
+
+    __slots__ = ('ended_seconds', 'leg', 'outcome', 'sent_seconds', 'target')
+
+    def __init__(self, attempt: legs.Attempt) -> None:
+        self.leg = attempt.leg
+        self.target = attempt.replica.entry.target
+        self.sent_seconds = attempt.sent_seconds
+        self.ended_seconds = 0.0
+        self.outcome = 'given up'
+
+
 class Runner:
     """One request under way.
 
@@ -52,6 +72,7 @@
     :param state: How far it has come.
     :param replies: Whole replies by attempt, for those passed on as they are.
     :param exchanges: What is under way, by attempt.
+    :param history: Every attempt, by number.
     :param has_cancelled: Whether a request was given up after its write.
     """
 
@@ -60,6 +81,7 @@
         '_timer',
         'exchanges',
         'has_cancelled',
+        'history',
         'replies',
         'state',
         'tier',
@@ -72,6 +94,7 @@
         self.state = legs.Sharded(work.plan)
         self.replies: dict[str, HttpReply] = {}
         self.exchanges: dict[int, Exchange] = {}
+        self.history: dict[int, Past] = {}
         self.has_cancelled = False
         self._timer = Timer()
         self._done: asyncio.Future[None] = (
@@ -139,6 +162,7 @@
             lambda reply: wire.is_reply_to(reply, self.work.request),
         )
         self.exchanges[attempt.number] = exchange
+        self.history[attempt.number] = Past(attempt)
         attempt.replica.pending[id(exchange)] = tiers.now()
         submit(tiers.pool_of(self.tier, attempt.replica), exchange)
 
@@ -168,6 +192,9 @@
         replica = attempt.replica
         replica.pending.pop(id(exchange), None)
         reply = self._read(attempt, outcome)
+        past = self.history[attempt.number]
+        past.ended_seconds = tiers.now()
+        past.outcome = reply.verdict.value
         self._observe(replica, exchange, reply)
         view = self._view()
         self._apply(sharded.on_reply(self.state, attempt.number, reply, view))
@@ -249,24 +276,3 @@
     :returns: False only where it surely did not run.
     """
     return runner.has_cancelled or sharded.may_have_run(runner.state)
-
-
-def last_failure(runner: Runner) -> Verdict | None:
-    """Tell why a request of one leg failed.
-
-    :param runner: The request, ended.
-    :returns: The last verdict, if any target was asked.
-    """
-    return runner.state.legs[0].last_verdict
-
-
-def was_only_refused(runner: Runner) -> bool:
-    """Tell whether all that was heard says that nothing ran.
-
-    :param runner: The request, ended.
-    :returns: Whether every leg was refused or not sent.
-    """
-    return not has_run(runner) and all(
-        leg.last_verdict is None or leg.last_verdict in NOT_RUN
-        for leg in runner.state.legs
-    )
--- a/celeryturn/forwarding/settings.py
+++ b/celeryturn/forwarding/settings.py
@@ -23,6 +23,7 @@
     :param instance: Name, places and times of the instance.
     :param ready: Where readiness is asked for.
     :param directory: Where callers ask for addresses.
+    :param metrics: Where metrics are read.
     :param seeds: Peers to begin with; some may be gone.
     :param extra_load: Bounds on hedges and retries, for all instances.
     :param grace: Times of a graceful shutdown.
@@ -31,6 +32,7 @@
     instance: Settings
     ready: Endpoint
     directory: Endpoint
+    metrics: Endpoint
     seeds: tuple[Endpoint, ...]
     extra_load: ExtraLoadBounds
     grace: Grace
--- a/celeryturn/forwarding/tier.py
+++ b/celeryturn/forwarding/tier.py
@@ -8,6 +8,7 @@
 from celeryturn.decisions import extra_load, membership
 from celeryturn.decisions.directory import Directory
 from celeryturn.decisions.latency import LatencyWindow
+from celeryturn.decisions.line_budget import LineBudget
 from celeryturn.decisions.replicas import Replica
 from celeryturn.decisions.route_table import RouteTable, is_newer
 from celeryturn.decisions.shares import connection_share
@@ -29,14 +30,16 @@
 
     :param revision: Up to here nothing was missed; zero before a whole read.
     :param is_lost: Whether the last call failed.
+    :param heard_seconds: When it last answered.
     :param overtaken: Set when a peer has been further for too long.
     """
 
-    __slots__ = ('is_lost', 'overtaken', 'revision')
+    __slots__ = ('heard_seconds', 'is_lost', 'overtaken', 'revision')
 
     def __init__(self) -> None:
         self.revision = 0
         self.is_lost = False
+        self.heard_seconds = 0.0
         self.overtaken = asyncio.Event()
 
 
@@ -64,6 +67,7 @@
     :param under_way: Requests that are being forwarded.
     :param is_refusing: Whether new requests are refused as not run.
     :param progress: How far the store was followed.
+    :param lines: Log lines that may be written.
     """
 
     def __init__(
@@ -83,6 +87,7 @@
         self.under_way: set[Stoppable] = set()
         self.is_refusing = False
         self.progress = StoreProgress()
+        self.lines = LineBudget(now())
 
 
 def offer_table(tier: Tier, body: bytes, source: str) -> bool:
--- a/celeryturn/node.py
+++ b/celeryturn/node.py
@@ -4,15 +4,15 @@
 import os
 import signal
 import sys
-from pathlib import Path
 
-from celeryturn.errors import CeleryturnError, Kind
+from celeryturn.errors import CeleryturnError
 from celeryturn.events import RELOADED, START_FAILED, log, log_to
 from celeryturn.forwarding.app import ForwardingApplication
 from celeryturn.forwarding.settings import ForwardingSettings
+from celeryturn.output import LogStream
 from celeryturn.platform.node_settings import (
     PATH_VARIABLE,
-    parse_node_settings,
+    load_node_settings,
 )
 
 
@@ -37,19 +37,12 @@
     :returns: The settings.
     :raises CeleryturnError: ``invalid_settings`` with every fault.
     """
-    path = os.environ.get(PATH_VARIABLE, '')
-    try:
-        text = Path(path).read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        raise CeleryturnError(
-            Kind.INVALID_SETTINGS, f'{path!r} cannot be read: {error}'
-        ) from error
-    return parse_node_settings(text)
+    return load_node_settings(os.environ.get(PATH_VARIABLE, ''))
 
 
 def main() -> None:
     """Entry point of the daemon."""
-    log_to(sys.stdout)
+    log_to(LogStream(sys.stdout.fileno()))
     try:
         asyncio.run(serve(read_settings()))
     except CeleryturnError as error:
--- a/celeryturn/platform/node_settings.py
+++ b/celeryturn/platform/node_settings.py
@@ -1,6 +1,7 @@
 """The settings file that the platform writes for a process."""
 
 from collections.abc import Mapping
+from pathlib import Path
 from typing import Final
 
 from celeryturn.decisions.extra_load import ExtraLoadBounds
@@ -20,6 +21,22 @@
 _DIRECTORY: Final = 'Listen.directory'
 
 
+def load_node_settings(path: str) -> ForwardingSettings:
+    """Read the settings file of a process.
+
+    :param path: The file.
+    :returns: The settings in the product's own shape.
+    :raises CeleryturnError: ``invalid_settings`` with every fault.
+    """
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise CeleryturnError(
+            Kind.INVALID_SETTINGS, f'{path!r} cannot be read: {error}'
+        ) from error
+    return parse_node_settings(text)
+
+
 def parse_node_settings(text: str) -> ForwardingSettings:
     """Decode the settings of a process.
 
@@ -32,6 +49,8 @@
         instance=_instance(reader),
         ready=reader.endpoint(_READY),
         directory=reader.endpoint(_DIRECTORY),
+        # The first port that is free for traffic of our own.
+        metrics=Endpoint(reader.text('Ip'), reader.first_port('InternalPorts')),
         seeds=reader.endpoints('Seeds'),
         extra_load=ExtraLoadBounds(
             reader.number('Bounds.RetryBudgetRatio', DEFAULTS.ratio),
@@ -102,6 +121,19 @@
             self.faults.append(Fault(name, f'a number, got {found!r}'))
             return default
 
+    def first_port(self, name: str) -> int:
+        """Read the first port of a range.
+
+        :param name: Name of the field.
+        :returns: The port; zero with a fault where there is none.
+        """
+        first = self.text(name).partition(',')[0]
+        if first.isascii() and first.isdigit():
+            return int(first)
+        if first:
+            self.faults.append(Fault(name, f'PORT,PORT, got {first!r}'))
+        return 0
+
     def endpoint(self, name: str) -> Endpoint:
         return self._endpoint(name, self.text(name))
 
--- /dev/null
+++ b/tests/steps/node.py
@@ -0,0 +1,238 @@
+"""Steps on the daemon of the users' platform as a real process."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+from behave import given, then, when
+from behave.runner import Context
+from prometheus_client.parser import text_string_to_metric_families
+
+from celeryturn import cli
+from celeryturn.errors import CeleryturnError
+from celeryturn.http.messages import HttpReply, HttpRequest
+from celeryturn.settings import Endpoint
+from examples.fleet import free_ports
+from tests.support.routed import (
+    ADDRESS,
+    PORTS,
+    WAIT_SECONDS,
+    RoutedWorld,
+    caller_request,
+    plain_route,
+)
+
+SERVICE = 'bookings'
+SETTINGS = """\
+NodeName=front-near-1
+Role=entry
+Zone=near
+Region=r
+Zones.near=r
+Listen.Front={address}:{front}
+Listen.Ready={address}:{ready}
+Listen.Control={address}:{control}
+Listen.directory={address}:{directory}
+Ip={address}
+InternalPorts={metrics},{metrics}
+Seeds={address}:{control}
+Bounds.GraceS=1
+Bounds.RetryBudgetRatio=0.2
+Bounds.ttl_max_s=5
+Unknown.Field=is ignored
+platform.Address={address}:{store}
+"""
+
+
+@given("the platform's store, with a route to a target")
+def given_store(context: Context) -> None:
+    """Start the stand-ins."""
+    world = RoutedWorld()
+    context.routed = world
+
+    async def start() -> None:
+        await world.start_store()
+        await world.start_targets(SERVICE, 1)
+        world.publish(1, plain_route(SERVICE))
+
+    _run(context, start())
+
+
+@when('the daemon is started with the settings that the platform writes')
+def start_daemon(context: Context) -> None:
+    """Start a process."""
+    context.ports = dict(
+        zip(
+            ('front', 'ready', 'control', 'directory', 'metrics'),
+            free_ports(PORTS),
+            strict=True,
+        )
+    )
+    store = context.routed.store.server.port
+    _start(
+        context,
+        SETTINGS.format(address=ADDRESS, store=store, **context.ports),
+    )
+
+
+@when('the daemon is started with settings that have 3 faults')
+def start_faulty(context: Context) -> None:
+    """Start a process that cannot run."""
+    _start(context, _faulty())
+
+
+@then('it answers a caller')
+def expect_answer(context: Context) -> None:
+    """Ask until it is ready."""
+    reply = _run(context, _until_answered(context, 'front', '/one/x'))
+    assert reply.status == 200, reply
+
+
+@then("the platform's question and the directory are answered")
+def expect_asides(context: Context) -> None:
+    """Ask what the platform and callers ask."""
+    ready = _run(context, _until_answered(context, 'ready', '/v1/readiness'))
+    assert ready.status == 200, ready
+    path = '/v1/resolve?Name=x&Region=r&Zone=near'
+    advice = _run(context, _until_answered(context, 'directory', path))
+    addresses = json.loads(advice.body)['addrs']
+    assert addresses == [f'{ADDRESS}:{context.ports["front"]}'], addresses
+    metrics = _run(context, _until_answered(context, 'metrics', '/metrics'))
+    families = {
+        family.name: family
+        for family in text_string_to_metric_families(metrics.body.decode())
+    }
+    assert 'celeryturn_forwarded_seconds' in families, families
+    assert 'celeryturn_table_version' in families, families
+
+
+@when('the settings file changes and it gets SIGHUP')
+def change_settings(context: Context) -> None:
+    """Change the file and say so."""
+    context.path.write_text(f'{context.path.read_text()}\nMore=1\n')
+    context.process.send_signal(signal.SIGHUP)
+
+
+@when('it gets SIGTERM')
+def terminate(context: Context) -> None:
+    """Tell it to end."""
+    context.process.send_signal(signal.SIGTERM)
+
+
+@then('it ends with exit code {code:d}')
+def expect_exit(context: Context, code: int) -> None:
+    """Wait for its end."""
+
+    async def ended() -> str:
+        loop = asyncio.get_running_loop()
+        communicate = context.process.communicate
+        output, _ = await loop.run_in_executor(None, communicate)
+        text: str = output
+        return text
+
+    context.output = _run(context, asyncio.wait_for(ended(), WAIT_SECONDS))
+    assert context.process.returncode == code, context.output
+
+
+@then('its log says "{events}", every line an object')
+def expect_log(context: Context, events: str) -> None:
+    """Expect events in order, and nothing else than log lines."""
+    told = [json.loads(line)['event'] for line in context.output.splitlines()]
+    wanted = events.split()
+    assert [name for name in told if name in wanted] == wanted, told
+
+
+@then('its log names "{names}"')
+def expect_named(context: Context, names: str) -> None:
+    """Expect that every fault is named."""
+    for name in names.split():
+        assert name in context.output, context.output
+
+
+@then('"celeryturn check --platform" finds the settings valid')
+def expect_valid(context: Context) -> None:
+    """Check a good file."""
+    names = ('front', 'ready', 'control', 'directory', 'store', 'metrics')
+    ports = {name: number for number, name in enumerate(names, start=1)}
+    path = _write(SETTINGS.format(address=ADDRESS, **ports))
+    assert 'valid settings' in cli.check(str(path), platform=True)
+
+
+@then('it names all of "{names}" in faulty ones')
+def expect_faults(context: Context, names: str) -> None:
+    """Check a bad file."""
+    try:
+        cli.check(str(_write(_faulty())), platform=True)
+    except CeleryturnError as error:
+        assert {fault.path for fault in error.faults} == set(names.split())
+    else:
+        raise AssertionError('no fault was found')
+
+
+def _faulty() -> str:
+    lines = SETTINGS.format(
+        address=ADDRESS,
+        front=1,
+        ready='x',
+        control=3,
+        directory=4,
+        metrics=6,
+        store=5,
+    ).splitlines()
+    kept = [
+        line
+        for line in lines
+        if not line.startswith(('platform.Address', 'Zone='))
+    ]
+    return '\n'.join(kept)
+
+
+def _write(text: str) -> Path:
+    path = Path(tempfile.mkdtemp()) / 'node.conf'
+    path.write_text(text)
+    return path
+
+
+def _start(context: Context, text: str) -> None:
+    context.path = _write(text)
+    context.process = subprocess.Popen(
+        [sys.executable, '-m', 'celeryturn.node'],
+        env={**os.environ, 'CELERYTURN_BOOT': str(context.path)},
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+
+
+async def _until_answered(
+    context: Context, listener: str, path: str
+) -> HttpReply:
+    endpoint = Endpoint(ADDRESS, context.ports[listener])
+    request: HttpRequest = caller_request(path)
+    async with asyncio.timeout(WAIT_SECONDS):
+        while True:
+            reply = await _try(context, endpoint, request)
+            if reply is not None and reply.status == 200:
+                return reply
+            await asyncio.sleep(0.02)
+
+
+async def _try(
+    context: Context, endpoint: Endpoint, request: HttpRequest
+) -> HttpReply | None:
+    try:
+        connection = await context.routed.connect(endpoint)
+        reply: HttpReply = await connection.exchange_within(request, 1)
+    except OSError:
+        return None
+    return reply
+
+
+def _run(context: Context, coroutine: Coroutine[Any, Any, Any]) -> Any:
+    return context.loop.run_until_complete(coroutine)
--- a/tests/support/routed.py
+++ b/tests/support/routed.py
@@ -22,7 +22,7 @@
 ZONE: Final = 'near'
 WAIT_SECONDS: Final = 15.0
 POLL_SECONDS: Final = 0.005
-PORTS: Final = 4
+PORTS: Final = 5
 
 
 class RoutedWorld:
@@ -97,7 +97,7 @@
 
     async def start_instance(self, **grace: float) -> ForwardingApplication:
         """Start an instance that knows the others as its seeds."""
-        callers, peers, ready, directory = (
+        callers, peers, ready, directory, metrics = (
             Endpoint(ADDRESS, port) for port in free_ports(PORTS)
         )
         store = Endpoint(ADDRESS, self.store.server.port)
@@ -114,6 +114,7 @@
             ),
             ready=ready,
             directory=directory,
+            metrics=metrics,
             seeds=tuple(
                 known.tier.settings.instance.peers
                 for known in self.applications
