--- /dev/null
+++ b/celeryturn/forwarding/answering.py
@@ -0,0 +1,40 @@
+"""Answer every request of callers, and tell how it went."""
+
+from celeryturn.errors import CeleryturnError, Kind
+from celeryturn.events import INTERNAL_FAULT, log
+from celeryturn.forwarding.accounts import tell_refusal
+from celeryturn.forwarding.forward import forward
+from celeryturn.forwarding.measures import Measures, count_request
+from celeryturn.forwarding.refusals import refusal_reply
+from celeryturn.forwarding.runner import Runner
+from celeryturn.forwarding.tier import Tier
+from celeryturn.http.messages import HttpReply, HttpRequest
+from celeryturn.http.server import Answerer
+
+
+def make_answerer(tier: Tier, measures: Measures) -> Answerer:
+    """Build what answers callers.
+
+    :param tier: The tier.
+    :param measures: The collectors.
+    :returns: Answers any request; refusals are told and counted.
+    """
+
+    def count(runner: Runner, status: int) -> None:
+        count_request(measures, runner, status)
+
+    def refuse(request: HttpRequest, error: CeleryturnError) -> HttpReply:
+        measures.refusals.inc({'kind': str(error.kind)})
+        tell_refusal(tier, request, error)
+        return refusal_reply(error)
+
+    async def answer(request: HttpRequest) -> HttpReply:
+        try:
+            return await forward(tier, request, count)
+        except CeleryturnError as error:
+            return refuse(request, error)
+        except Exception as fault:
+            log(INTERNAL_FAULT, url=request.url, detail=repr(fault))
+            return refuse(request, CeleryturnError(Kind.INTERNAL, repr(fault)))
+
+    return answer
--- a/celeryturn/forwarding/app.py
+++ b/celeryturn/forwarding/app.py
@@ -17,15 +17,12 @@
     log,
 )
 from celeryturn.forwarding import tier as tiers
-from celeryturn.forwarding.accounts import tell_refusal
+from celeryturn.forwarding.answering import make_answerer
 from celeryturn.forwarding.asides import make_asides
 from celeryturn.forwarding.follow import follow, hear_revision, keep_house
-from celeryturn.forwarding.forward import forward
-from celeryturn.forwarding.measures import Measures, count_request
+from celeryturn.forwarding.measures import Measures
 from celeryturn.forwarding.refusals import refusal_reply
-from celeryturn.forwarding.runner import Runner
 from celeryturn.forwarding.settings import ForwardingSettings
-from celeryturn.http.messages import HttpReply, HttpRequest
 from celeryturn.http.server import HttpServer
 from celeryturn.instance import Instance, Routes
 from celeryturn.peers import network as peers
@@ -66,7 +63,9 @@
             hear_revision=lambda heard: hear_revision(self.tier, heard),
         )
         self.measures = Measures()
-        self.front = HttpServer(self._forward, refusal_reply)
+        self.front = HttpServer(
+            make_answerer(self.tier, self.measures), refusal_reply
+        )
         self.tier.on_adopted.append(self._limit_callers)
         self.leaving = asyncio.Event()
         self._asides = make_asides(self.tier, self.measures)
@@ -169,26 +168,6 @@
         limits.request_seconds = table.limits.head_seconds
         limits.idle_seconds = table.limits.idle_seconds
 
-    async def _forward(self, request: HttpRequest) -> HttpReply:
-        try:
-            return await forward(self.tier, request, self._count)
-        except CeleryturnError as error:
-            return self._refuse(request, error)
-        except Exception as fault:
-            log(INTERNAL_FAULT, url=request.url, detail=repr(fault))
-            internal = CeleryturnError(Kind.INTERNAL, repr(fault))
-            return self._refuse(request, internal)
-
-    def _count(self, runner: Runner, status: int) -> None:
-        count_request(self.measures, runner, status)
-
-    def _refuse(
-        self, request: HttpRequest, error: CeleryturnError
-    ) -> HttpReply:
-        self.measures.refusals.inc({'kind': str(error.kind)})
-        tell_refusal(self.tier, request, error)
-        return refusal_reply(error)
-
     def _begin(self, loop: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(loop)
         task.add_done_callback(_report_fault)
