Some missing entries are given less time; a changed settings file is noticed

Cause: reading the bounds again: three targets that leave without a word in one batch were kept for 2.2 s, and with what gathers before it up to 2.85 s of 3. Change: where only some entries go missing they are given 1.2 s, nearly all or right after the store was away 2.2 s; what was observed of a route goes with it; callers' connections are bounded by the descriptors of the settings; the settings file is looked at every 2 s.

--- a/celeryturn/decisions/directory.py
+++ b/celeryturn/decisions/directory.py
@@ -6,7 +6,9 @@
 from celeryturn.decisions.replicas import Replica, TargetEntry
 
 LAPSE_SECONDS: Final = 2.2
+SOME_LAPSE_SECONDS: Final = 1.2
 MANY_REMOVALS: Final = 3
+MOST_SHARE: Final = 0.5
 MOST_TARGETS: Final = 8192
 
 
@@ -77,6 +79,8 @@
 
     Many at once, or some right after the store was away, may have lapsed
     while their targets serve on: those are dropped only if they stay away.
+    Where only some went, they may as well have left without a word, and
+    are given less time.
 
     :param directory: The targets.
     :param targets: Identifiers whose entries went missing together.
@@ -84,13 +88,10 @@
     """
     missing = [name for name in targets if name in directory.services]
     abrupt = [name for name in missing if not _is_draining(directory, name)]
-    is_doubtful = (
-        len(abrupt) >= MANY_REMOVALS
-        or now_seconds < directory.trusted_after_seconds
-    )
+    lapse_seconds = _lapse_seconds(directory, len(abrupt), now_seconds)
     for target in missing:
-        if is_doubtful and target in abrupt:
-            directory.lapsed.setdefault(target, now_seconds + LAPSE_SECONDS)
+        if lapse_seconds and target in abrupt:
+            directory.lapsed.setdefault(target, now_seconds + lapse_seconds)
         else:
             drop(directory, target)
 
@@ -164,6 +165,15 @@
     return directory.replicas[service].get(target)
 
 
+def _lapse_seconds(
+    directory: Directory, count: int, now_seconds: float
+) -> float:
+    was_away = now_seconds < directory.trusted_after_seconds
+    if was_away or count > MOST_SHARE * len(directory.services):
+        return LAPSE_SECONDS
+    return SOME_LAPSE_SECONDS if count >= MANY_REMOVALS else 0
+
+
 def _is_draining(directory: Directory, target: str) -> bool:
     known = find(directory, target)
     return known is not None and known.entry.is_draining
--- a/celeryturn/forwarding/app.py
+++ b/celeryturn/forwarding/app.py
@@ -66,6 +66,7 @@
         self.front = HttpServer(
             make_answerer(self.tier, self.measures), refusal_reply
         )
+        self.front.limits.most_connections = settings.connection_count
         self.tier.on_adopted.append(self._limit_callers)
         self.leaving = asyncio.Event()
         self._asides = make_asides(self.tier, self.measures)
--- a/celeryturn/forwarding/tier.py
+++ b/celeryturn/forwarding/tier.py
@@ -108,11 +108,19 @@
     tier.table = table
     tier.table_body = body
     log(TABLE_ADOPTED, version=table.version, source=source)
+    _forget_routes(tier, table)
     for callback in tier.on_adopted:
         callback(table)
     return True
 
 
+def _forget_routes(tier: Tier, table: RouteTable) -> None:
+    names = {route.name for known in table.routes.values() for route in known}
+    for observed in (tier.latencies, tier.waits, tier.splitter.credits):
+        for name in observed.keys() - names:
+            observed.pop(name)
+
+
 def table_version(tier: Tier) -> int:
     """Read the version of the routes in force.
 
--- a/celeryturn/node.py
+++ b/celeryturn/node.py
@@ -4,6 +4,8 @@
 import os
 import signal
 import sys
+from pathlib import Path
+from typing import Final
 
 from celeryturn.errors import CeleryturnError
 from celeryturn.events import RELOADED, START_FAILED, log, log_to
@@ -15,6 +17,8 @@
     load_node_settings,
 )
 
+FILE_EVERY_SECONDS: Final = 2.0
+
 
 async def serve(settings: ForwardingSettings) -> None:
     """Run one instance until it is told to stop.
@@ -28,7 +32,11 @@
         loop.add_signal_handler(number, application.drain)
     loop.add_signal_handler(signal.SIGHUP, lambda: _reload(application))
     await application.start()
-    await application.run()
+    watching = loop.create_task(_watch_file(application))
+    try:
+        await application.run()
+    finally:
+        watching.cancel()
 
 
 def read_settings() -> ForwardingSettings:
@@ -50,6 +58,25 @@
         sys.exit(error.answer.exit_code)
 
 
+async def _watch_file(application: ForwardingApplication) -> None:
+    # The file may change without a signal.
+    seen = _changed_ns()
+    while True:
+        await asyncio.sleep(FILE_EVERY_SECONDS)
+        changed = _changed_ns()
+        if changed != seen:
+            seen = changed
+            _reload(application)
+
+
+def _changed_ns() -> int:
+    try:
+        return Path(os.environ.get(PATH_VARIABLE, '')).stat().st_mtime_ns
+    except OSError:
+        # It is being replaced; the next look finds it.
+        return 0
+
+
 def _reload(application: ForwardingApplication) -> None:
     try:
         settings = read_settings()
--- a/celeryturn/platform/node_settings.py
+++ b/celeryturn/platform/node_settings.py
@@ -13,6 +13,10 @@
 NEIGHBOUR_COUNT: Final = 3
 PEER_IDLE_SECONDS: Final = 3.0
 DEFAULTS: Final = ExtraLoadBounds()
+DEFAULT_DESCRIPTORS: Final = 1024
+# Of all descriptors, these are for files, and the rest also for targets.
+FILE_DESCRIPTORS: Final = 200
+CALLERS_SHARE: Final = 0.7
 
 # Names of the platform for what a role listens on.
 _FRONT: Final = 'Listen.Front'
@@ -52,6 +56,7 @@
         # The first port that is free for traffic of our own.
         metrics=Endpoint(reader.text('Ip'), reader.first_port('InternalPorts')),
         seeds=reader.endpoints('Seeds'),
+        connection_count=_connection_count(reader),
         extra_load=ExtraLoadBounds(
             reader.number('Bounds.RetryBudgetRatio', DEFAULTS.ratio),
             reader.number('Bounds.RetryBudgetSlack', DEFAULTS.slack_count),
@@ -89,6 +94,12 @@
     )
 
 
+def _connection_count(reader: '_Reader') -> int:
+    descriptors = reader.number('Limits.MaxFds', DEFAULT_DESCRIPTORS)
+    usable = descriptors - FILE_DESCRIPTORS
+    return max(1, int(CALLERS_SHARE * usable))
+
+
 def _lines(text: str) -> Mapping[str, str]:
     fields = {}
     for line in text.splitlines():
--- a/tests/decisions/directory.feature
+++ b/tests/decisions/directory.feature
@@ -19,6 +19,21 @@
     And 2 seconds pass at the store
     Then "a d" serves
 
+  Scenario: Some that go missing together are given less time
+    Given the entries "a b c d e f g h"
+    When the entries "a b c" go missing
+    Then "a b c d e f g h" serves
+    When 1.3 seconds pass at the store
+    Then "d e f g h" serves
+
+  Scenario: A single entry that goes missing right after a rest is gone
+    Given the entries "a"
+    When 60 seconds pass at the store
+    And the entries "a" go missing
+    Then "a" serves
+    When 2.3 seconds pass at the store
+    Then nothing serves
+
   Scenario: After the store was away a single entry may have lapsed too
     Given the entries "a b"
     When the store is back
--- a/tests/forwarding/forward.feature
+++ b/tests/forwarding/forward.feature
@@ -123,6 +123,12 @@
       | limited |
       | silent  |
 
+  Scenario: What was observed of a route goes with it
+    Given a plain route to 1 targets
+    And a caller has asked for "/one/x"
+    When the route moves to "/moved/"
+    Then nothing is held of the former route
+
   Scenario: History that is gone is made up for by a whole read
     Given a plain route to 1 targets
     When the store is busy while the route moves, and forgets its history
--- a/tests/steps/directory.py
+++ b/tests/steps/directory.py
@@ -91,5 +91,11 @@
     assert {rep.entry.target for rep in found} == set(names.split())
 
 
+@then('nothing serves')
+def expect_nothing(context: Context) -> None:
+    """Expect no target."""
+    assert not directory.serving(context.directory, 's')
+
+
 def _put(context: Context, entry: TargetEntry) -> None:
     directory.put_entry(context.directory, entry, context.store_seconds)
--- a/tests/steps/forward.py
+++ b/tests/steps/forward.py
@@ -271,6 +271,29 @@
     world.store.mode = Mode.SERVING
 
 
+@given('a caller has asked for "{path}"')
+def has_asked(context: Context, path: str) -> None:
+    """Ask, so that something is observed."""
+    ask(context, path)
+    assert _world(context).applications[0].tier.latencies
+
+
+@when('the route moves to "{prefix}"')
+def move_prefix(context: Context, prefix: str) -> None:
+    """Publish a route of another name."""
+    world = _world(context)
+    world.publish(2, plain_route(SERVICE, prefix))
+    _run(context, _settled(world))
+
+
+@then('nothing is held of the former route')
+def expect_forgotten(context: Context) -> None:
+    """Expect tables without it."""
+    tier = _world(context).applications[0].tier
+    assert not tier.latencies, tier.latencies
+    assert not tier.waits, tier.waits
+
+
 @when('the operator publishes version {version:d}')
 def publish(context: Context, version: int) -> None:
     """Publish a version."""
