--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: run run-redda test lint check-tests check-deep fuzz slopes bench clean
+.PHONY: run run-redda test lint check-tests check-deep fuzz slopes bench experiment clean
 
 run: $(STAMP)
 	$(BIN)/python -m examples.run --user consorcio
@@ -34,6 +34,9 @@
 slopes: $(STAMP)
 	$(BIN)/python -m bench.slopes
 
+experiment: $(STAMP)
+	$(BIN)/python -m bench.experiment --pattern all --seeds 3
+
 bench: $(STAMP)
 	$(BIN)/python -m bench.compare
 
--- /dev/null
+++ b/bench/model/policies.py
@@ -0,0 +1,54 @@
+"""Policies that an experiment compares."""
+
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import Final, NamedTuple
+
+from celeryturn.decisions import extra_load, pacing, replicas
+
+
+class Policy(NamedTuple):
+    """What decides, as plain functions.
+
+    :param observes: Whether replies and silence are learnt from; without
+        that every target weighs alike and chance decides.
+    :param prefers_zone: Whether targets of the own zone come first.
+    :param hedge_after_seconds: Silence after which another one is asked.
+    :param spend: Takes from the extra load.
+    """
+
+    observes: bool
+    prefers_zone: bool
+    hedge_after_seconds: Callable[[replicas.Usual, float], float]
+    spend: Callable[[extra_load.ExtraLoad, float], bool]
+
+
+def never(usual: replicas.Usual, left_seconds: float) -> float:
+    """Hedge never.
+
+    :param usual: Not looked at.
+    :param left_seconds: Not looked at.
+    :returns: A time that does not come.
+    """
+    return float('inf')
+
+
+CURRENT: Final = Policy(
+    observes=True,
+    prefers_zone=True,
+    hedge_after_seconds=pacing.hedge_after_seconds,
+    spend=extra_load.spend,
+)
+POLICIES: Final[Mapping[str, Policy]] = MappingProxyType(
+    {
+        'current': CURRENT,
+        'plain': Policy(
+            observes=False,
+            prefers_zone=False,
+            hedge_after_seconds=never,
+            spend=extra_load.spend,
+        ),
+        'without-hedges': CURRENT._replace(hedge_after_seconds=never),
+        'without-zones': CURRENT._replace(prefers_zone=False),
+    }
+)
