A fault of this program does not end the loop that follows the store

Cause: reading the shell: an unexpected exception in following, housekeeping or gossip ended that task with one log line; the instance served on and by what it knew until its restart. Change: such a loop is run again after half a second.

--- a/celeryturn/forwarding/app.py
+++ b/celeryturn/forwarding/app.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import time
-from collections.abc import Coroutine
-from typing import Any, Final
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, TypeAlias
 
 from celeryturn.decisions import membership
 from celeryturn.decisions.route_table import RouteTable
@@ -32,12 +32,15 @@
 READY_CHECK_SECONDS: Final = 0.02
 FIRST_PEER_SECONDS: Final = 1.0
 FLUSH_SECONDS: Final = 0.2
+AGAIN_SECONDS: Final = 0.5
 # Parts of the grace of a shutdown: until new requests are refused, until
 # the port is closed, and until what still runs is answered.
 REFUSE_SHARE: Final = 0.48
 CLOSE_SHARE: Final = 0.82
 STOP_SHARE: Final = 0.9
 
+Loop: TypeAlias = Callable[[], Coroutine[Any, Any, None]]
+
 
 class ForwardingApplication:
     """One daemon that serves published routes.
@@ -93,10 +96,10 @@
             await self.stop()
             raise CeleryturnError(Kind.INVALID_SETTINGS, 'cannot listen', found)
         log(STARTED, instance=settings.instance.instance)
-        self._following = self._begin(follow(self.tier))
-        self._begin(keep_house(self.tier))
-        self._begin(peers.gossip(self.network))
-        self._begin(self._become_ready())
+        self._following = self._begin(lambda: follow(self.tier))
+        self._begin(lambda: keep_house(self.tier))
+        self._begin(lambda: peers.gossip(self.network))
+        self._begin(self._become_ready)
 
     def put_settings(self, settings: ForwardingSettings) -> None:
         """Put changed settings in force, but for names and ports.
@@ -112,7 +115,7 @@
         """Follow the store anew, at the address of the settings."""
         if self._following is not None:
             self._following.cancel()
-        self._following = self._begin(follow(self.tier))
+        self._following = self._begin(lambda: follow(self.tier))
 
     def drain(self) -> None:
         """Begin a graceful shutdown; :meth:`run` carries it out."""
@@ -169,9 +172,8 @@
         limits.request_seconds = table.limits.head_seconds
         limits.idle_seconds = table.limits.idle_seconds
 
-    def _begin(self, loop: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.get_running_loop().create_task(loop)
-        task.add_done_callback(_report_fault)
+    def _begin(self, loop: Loop) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(keep_running(loop))
         self._loops.append(task)
         return task
 
@@ -219,6 +221,17 @@
     await asyncio.sleep(max(0.0, at_seconds - tiers.now()))
 
 
-def _report_fault(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        log(INTERNAL_FAULT, detail=repr(task.exception()))
+async def keep_running(loop: Loop) -> None:
+    """Run a loop, and again after a fault of this program in it.
+
+    An instance that no longer followed the store would serve on, and by what
+    it knew.
+
+    :param loop: Makes the loop; it ends by itself or is cancelled.
+    """
+    while True:
+        try:
+            return await loop()
+        except Exception as fault:
+            log(INTERNAL_FAULT, detail=repr(fault))
+        await asyncio.sleep(AGAIN_SECONDS)
--- a/celeryturn/forwarding/runner.py
+++ b/celeryturn/forwarding/runner.py
@@ -70,7 +70,7 @@
     :param tier: The tier.
     :param work: The request.
     :param state: How far it has come.
-    :param replies: Whole replies by attempt, for those passed on as they are.
+    :param replies: Whole replies by signature, to be passed on as they are.
     :param exchanges: What is under way, by attempt.
     :param history: Every attempt, by number.
     :param has_cancelled: Whether a request was given up after its write.
@@ -226,10 +226,7 @@
             )
             window = self._window(now_seconds)
             latency.record(window, waited_seconds, now_seconds)
-        elif reply.verdict is Verdict.NOT_SENT:
-            replicas.observe_unreachable(replica, now_seconds)
-        elif reply.verdict is Verdict.WRONG_TARGET:
-            # Another target has its address now.
+        elif reply.verdict in _ELSEWHERE:
             replicas.observe_unreachable(replica, now_seconds)
         else:
             replicas.observe_failure(replica, now_seconds)
@@ -269,6 +266,10 @@
         )
 
 
+# Nothing listens at its address, or another target does.
+_ELSEWHERE: Final = frozenset((Verdict.NOT_SENT, Verdict.WRONG_TARGET))
+
+
 def has_run(runner: Runner) -> bool:
     """Tell whether a target may have run a request.
 
--- a/tests/forwarding/forward.feature
+++ b/tests/forwarding/forward.feature
@@ -146,6 +146,12 @@
     And a second instance is started
     Then both instances have version 1
 
+  Scenario: A fault of this program does not stop the instance from following
+    Given a plain route to 1 targets
+    When one change makes the program fail
+    And the operator publishes version 3
+    Then the instance has version 3
+
   Scenario: A draining target gets nothing new
     Given a plain route to 2 targets
     When one target is listed as draining
--- a/tests/steps/forward.py
+++ b/tests/steps/forward.py
@@ -3,11 +3,13 @@
 import asyncio
 from collections.abc import Coroutine
 from typing import Any
+from unittest import mock
 
 import msgspec
 from behave import given, then, when
 from behave.runner import Context
 
+from celeryturn.decisions import directory
 from celeryturn.forwarding.app import ForwardingApplication
 from celeryturn.http.messages import HttpReply, header
 from standins.shard_target import Fault
@@ -300,6 +302,23 @@
     _world(context).publish(version, plain_route(SERVICE))
 
 
+@when('one change makes the program fail')
+def fail_once(context: Context) -> None:
+    """Let the code that takes in changes fail once."""
+    world = _world(context)
+    target = f'{SERVICE}-0'
+    fault = RuntimeError('a fault of this program')
+    with mock.patch.object(directory, 'put_entry', side_effect=fault) as put:
+        world.list_target(target, SERVICE, Slots=2)
+        _run(context, world.wait_for(lambda: put.call_count))
+
+
+@then('the instance has version {version:d}')
+def expect_one_version(context: Context, version: int) -> None:
+    """Expect a version in force."""
+    expect_version(context, version)
+
+
 @when('one target is listed as draining')
 def drain_target(context: Context) -> None:
     """Let a target say that it leaves."""
