A watch that a silent store forgot is given up within 4 s of its return

Ruled out: lost entries, peers, the time to adopt (1 ms). Change: a watch waits 2 s at the store, half a second while the store is lost, and its answer may be 0.8 s late, 1.6 s while it is lost; what waits before the next one included, that is under the 4 s after which the bound holds again. Costs: more calls to the store. Also: the scenario that packs messages made counts below zero for two new fields; it makes valid ones now, and two kinds of message more.

--- a/celeryturn/forwarding/follow.py
+++ b/celeryturn/forwarding/follow.py
@@ -24,8 +24,14 @@
     StoreError,
 )
 
-WATCH_SECONDS: Final = 10.0
+# A store that was silent answers no watch of before its return: from there
+# an instance has 4 s to be up to date.
+WATCH_SECONDS: Final = 2.0
+LOST_WATCH_SECONDS: Final = 0.5
+FIRST_SLACK_SECONDS: Final = 0.8
+MOST_SLACK_SECONDS: Final = 1.6
 RETRY_SECONDS: Final = 0.6
+MOST_RETRY_SECONDS: Final = 0.9
 GATHER_SECONDS: Final = 0.4
 OVERTAKEN_SECONDS: Final = 0.8
 HOUSEKEEPING_SECONDS: Final = 0.25
@@ -104,8 +110,9 @@
     progress = tier.progress
     progress.overtaken.clear()
     loop = asyncio.get_running_loop()
+    wait_seconds, slack_seconds = watch_times(progress)
     watching = loop.create_task(
-        client.watch('', progress.revision, WATCH_SECONDS)
+        client.watch('', progress.revision, wait_seconds, slack_seconds)
     )
     overtaken = loop.create_task(progress.overtaken.wait())
     try:
@@ -121,6 +128,18 @@
     return watching.result()
 
 
+def watch_times(progress: StoreProgress) -> tuple[float, float]:
+    """Tell how long the next watch waits at the store.
+
+    :param progress: How far the store was followed.
+    :returns: Seconds at the store, and seconds that its answer may be late;
+        a slow store gets more of these, up to a bound.
+    """
+    if not progress.is_lost:
+        return WATCH_SECONDS, FIRST_SLACK_SECONDS
+    return LOST_WATCH_SECONDS, MOST_SLACK_SECONDS
+
+
 def _note_lost(progress: StoreProgress, error: OSError) -> None:
     if not progress.is_lost:
         log(STORE_LOST, detail=repr(error))
--- a/celeryturn/platform/store.py
+++ b/celeryturn/platform/store.py
@@ -109,13 +109,18 @@
         raise StoreError(f'{prefix}: more than {MOST_PAGES} pages')
 
     async def watch(
-        self, prefix: str, after_revision: int, wait_seconds: float
+        self,
+        prefix: str,
+        after_revision: int,
+        wait_seconds: float,
+        slack_seconds: float,
     ) -> Changes:
         """Wait for changes.
 
         :param prefix: Beginning of the keys.
         :param after_revision: Only later changes count.
         :param wait_seconds: Longest wait at the store.
+        :param slack_seconds: How much later its answer may come.
         :returns: The changes, possibly none.
         :raises HistoryGoneError: When a whole read is needed first.
         :raises StoreError: When there is no usable answer.
@@ -126,7 +131,7 @@
             'WaitMs': str(int(wait_seconds * MILLISECONDS)),
         }
         reply = await self._get(
-            '/v1/kv-watch', query, wait_seconds + READ_SECONDS
+            '/v1/kv-watch', query, wait_seconds + slack_seconds
         )
         body = _decode(_watch_decoder, reply)
         changes = tuple(map(_change, body['events']))
--- a/tests/forwarding/forward.feature
+++ b/tests/forwarding/forward.feature
@@ -146,6 +146,9 @@
     And a second instance is started
     Then both instances have version 1
 
+  Scenario: A watch that a silent store forgot is given up in time
+    Then within 4 s of a silent store's return a watch has been asked for anew
+
   Scenario: A fault of this program does not stop the instance from following
     Given a plain route to 1 targets
     When one change makes the program fail
--- a/tests/steps/decoders.py
+++ b/tests/steps/decoders.py
@@ -126,8 +126,11 @@
         st.integers(0, 2**60),
         st.sampled_from(Status),
     )
+    counts = st.integers(0, 2**60)
     any_message = st.one_of(
-        st.builds(messages.Ping, st.floats(allow_nan=False)),
+        st.builds(messages.Ping, st.floats(allow_nan=False), counts, counts),
+        st.builds(messages.WantTable, counts),
+        st.builds(messages.Table, st.binary(max_size=50)),
         st.builds(messages.Document, st.binary(max_size=50)),
         st.builds(messages.Members, st.lists(members, max_size=5).map(tuple)),
     )
--- a/tests/steps/forward.py
+++ b/tests/steps/forward.py
@@ -10,7 +10,9 @@
 from behave.runner import Context
 
 from celeryturn.decisions import directory
+from celeryturn.forwarding import follow
 from celeryturn.forwarding.app import ForwardingApplication
+from celeryturn.forwarding.tier import StoreProgress
 from celeryturn.http.messages import HttpReply, header
 from standins.shard_target import Fault
 from standins.store import Mode
@@ -302,6 +304,19 @@
     _world(context).publish(version, plain_route(SERVICE))
 
 
+@then(
+    "within {bound:d} s of a silent store's return a watch has been asked for"
+    ' anew'
+)
+def expect_asked_anew(context: Context, bound: int) -> None:
+    """Expect that no watch of before holds an instance up for longer."""
+    progress = StoreProgress()
+    for is_lost in (False, True):
+        progress.is_lost = is_lost
+        given_up = sum(follow.watch_times(progress))
+        assert given_up + follow.MOST_RETRY_SECONDS < bound, given_up
+
+
 @when('one change makes the program fail')
 def fail_once(context: Context) -> None:
     """Let the code that takes in changes fail once."""
