Bounds of a retry's wait stand once; a function nobody calls is gone

Cause: the change read once more. The longest wait before a retry stood beside the shortest one that it follows from and could drift from it; waiting_count of the pools had no caller; a docstring said that cancelled attempts count as run where the caller adds them. Behaviour is the same (0.3 to 0.9 s).

--- a/celeryturn/decisions/sharded.py
+++ b/celeryturn/decisions/sharded.py
@@ -108,8 +108,8 @@
     """Tell whether any target may have run the request.
 
     :param request: The request.
-    :returns: False only where every attempt is known not to have run;
-        attempts that were cancelled count as run.
+    :returns: False only where every attempt that ended is known not to have
+        run; whether cancelled ones were written is for the caller to add.
     """
     return any(leg.run_count or leg.reply for leg in request.legs)
 
--- a/celeryturn/forwarding/follow.py
+++ b/celeryturn/forwarding/follow.py
@@ -30,7 +30,7 @@
 LOST_WATCH_SECONDS: Final = 0.5
 FIRST_SLACK_SECONDS: Final = 0.8
 MOST_SLACK_SECONDS: Final = 1.6
-RETRY_SECONDS: Final = 0.6
+LEAST_RETRY_SECONDS: Final = 0.3
 MOST_RETRY_SECONDS: Final = 0.9
 GATHER_SECONDS: Final = 0.4
 OVERTAKEN_SECONDS: Final = 0.8
@@ -56,8 +56,9 @@
             progress.revision = 0
         except OSError as error:
             _note_lost(progress, error)
-            spread = 0.5 + tier.instance.random()
-            await asyncio.sleep(RETRY_SECONDS * spread)
+            spread_seconds = MOST_RETRY_SECONDS - LEAST_RETRY_SECONDS
+            random_seconds = spread_seconds * tier.instance.random()
+            await asyncio.sleep(LEAST_RETRY_SECONDS + random_seconds)
 
 
 def hear_revision(tier: Tier, heard: int) -> None:
--- a/celeryturn/forwarding/pools.py
+++ b/celeryturn/forwarding/pools.py
@@ -179,15 +179,6 @@
     pool.idle.clear()
 
 
-def waiting_count(pool: Pool) -> int:
-    """Count requests without a connection.
-
-    :param pool: Connections to a target.
-    :returns: How many wait.
-    """
-    return sum(not exchange.is_ended for _, _, exchange in pool.waiting)
-
-
 def _serve(pool: Pool) -> None:
     while _has_waiting(pool):
         connection = _take_idle(pool)
