Scenarios on published routes end 2 s sooner

Cause: the hook after a scenario closed the older world first. Its close waits up to 2 s until no task is left, and the store, targets and instances of the routed world still ran. The check for tasks left over stands as it was.

--- a/tests/environment.py
+++ b/tests/environment.py
@@ -43,10 +43,11 @@
 
 def after_scenario(context: Context, scenario: Scenario) -> None:
     """Close what the scenario opened; a task left over is a failure."""
-    context.loop.run_until_complete(context.world.close())
     routed = getattr(context, 'routed', None)
     if routed is not None:
         context.loop.run_until_complete(routed.close())
+    # Last, since it waits until no task is left.
+    context.loop.run_until_complete(context.world.close())
     left = asyncio.all_tasks(context.loop)
     context.loop.close()
     assert not left, f'tasks left over: {left}'
