Peers tell of targets while the store does not; a start asks a silent store sooner

One that the store turns away kept its list as it was, so it knew no target of the shards of a reshard. And after all instances were gone, a whole read that hung for 1.5 s delayed the next by as much.

--- a/celeryturn/events.py
+++ b/celeryturn/events.py
@@ -52,6 +52,11 @@
 ENTRY_UNUSABLE: Final = Event(
     208, 'entry_unusable', 'An entry of the list names no target to use.'
 )
+TARGETS_FROM_PEER: Final = Event(
+    209,
+    'targets_from_peer',
+    'A peer told of targets while the store did not.',
+)
 MEMBER_CHANGED: Final = Event(
     300, 'member_changed', 'The belief about an instance changed.'
 )
@@ -98,6 +103,7 @@
     STORE_BACK,
     TABLE_ADOPTED,
     ENTRY_UNUSABLE,
+    TARGETS_FROM_PEER,
     MEMBER_CHANGED,
     PEER_REFUSED,
     REFUSED,
--- a/celeryturn/forwarding/app.py
+++ b/celeryturn/forwarding/app.py
@@ -21,6 +21,12 @@
 from celeryturn.forwarding.asides import make_asides
 from celeryturn.forwarding.follow import follow, hear_revision, keep_house
 from celeryturn.forwarding.measures import Measures
+from celeryturn.forwarding.peer_lists import (
+    lacks,
+    listed,
+    offer_listed,
+    wants_since,
+)
 from celeryturn.forwarding.refusals import refusal_reply
 from celeryturn.forwarding.settings import ForwardingSettings
 from celeryturn.http.server import HttpServer
@@ -64,6 +70,10 @@
             offer=self._offer,
             revision=lambda: self.tier.progress.revision,
             hear_revision=lambda heard: hear_revision(self.tier, heard),
+            lacks=lambda: lacks(self.tier),
+            wants_since=lambda heard: wants_since(self.tier, heard),
+            listed=lambda since: listed(self.tier, since),
+            offer_listed=lambda heard: offer_listed(self.tier, heard),
         )
         self.measures = Measures()
         self.front = HttpServer(
@@ -187,7 +197,7 @@
     async def _become_ready(self) -> None:
         tier = self.tier
         started_seconds = tiers.now()
-        while tier.table is None:
+        while lacks(tier):
             await asyncio.sleep(READY_CHECK_SECONDS)
         # What was in force before a restart must not revert, and callers
         # are advised of peers too.
--- a/celeryturn/forwarding/follow.py
+++ b/celeryturn/forwarding/follow.py
@@ -5,6 +5,11 @@
 from typing import Final
 
 from celeryturn.decisions import directory
+from celeryturn.decisions.entry_history import (
+    note_all,
+    note_put,
+    note_removed,
+)
 from celeryturn.decisions.replicas import TargetEntry
 from celeryturn.errors import CeleryturnError
 from celeryturn.events import ENTRY_UNUSABLE, STORE_BACK, STORE_LOST, log
@@ -32,6 +37,12 @@
 MOST_SLACK_SECONDS: Final = 1.6
 LEAST_RETRY_SECONDS: Final = 0.3
 MOST_RETRY_SECONDS: Final = 0.9
+# An instance that knows nothing serves nobody until the store answers.
+HURRIED_SHARE: Final = 0.25
+FIRST_READ_SECONDS: Final = 0.4
+MOST_READ_SECONDS: Final = 1.5
+READ_GROWTH: Final = 2.0
+MOST_FAILURES: Final = 8
 GATHER_SECONDS: Final = 0.4
 OVERTAKEN_SECONDS: Final = 0.8
 HOUSEKEEPING_SECONDS: Final = 0.25
@@ -56,9 +67,7 @@
             progress.revision = 0
         except OSError as error:
             _note_lost(progress, error)
-            spread_seconds = MOST_RETRY_SECONDS - LEAST_RETRY_SECONDS
-            random_seconds = spread_seconds * tier.instance.random()
-            await asyncio.sleep(LEAST_RETRY_SECONDS + random_seconds)
+            await asyncio.sleep(retry_seconds(progress, tier.instance.random()))
 
 
 def hear_revision(tier: Tier, heard: int) -> None:
@@ -100,7 +109,7 @@
         return
     changes = await _watch(tier, client)
     _note_heard(tier)
-    _apply(tier, changes.changes)
+    _apply(tier, changes)
     progress.revision = max(progress.revision, changes.revision)
     if changes.changes:
         # Changes come in bursts; each call is paid for.
@@ -141,14 +150,40 @@
     return LOST_WATCH_SECONDS, MOST_SLACK_SECONDS
 
 
+def read_seconds(progress: StoreProgress) -> float:
+    """Tell how long the next whole read may take.
+
+    :param progress: How far the store was followed.
+    :returns: Seconds for each answer; more after each failure, since the
+        store may be slow.
+    """
+    grown_seconds = FIRST_READ_SECONDS * READ_GROWTH**progress.failed_count
+    return min(MOST_READ_SECONDS, grown_seconds)
+
+
+def retry_seconds(progress: StoreProgress, random: float) -> float:
+    """Tell after what time the store is asked again.
+
+    :param progress: How far the store was followed.
+    :param random: Between 0 and 1; spreads instances.
+    :returns: Seconds from the failure.
+    """
+    spread_seconds = MOST_RETRY_SECONDS - LEAST_RETRY_SECONDS
+    wait_seconds = LEAST_RETRY_SECONDS + spread_seconds * random
+    is_hurried = not progress.listed_revision
+    return wait_seconds * HURRIED_SHARE if is_hurried else wait_seconds
+
+
 def _note_lost(progress: StoreProgress, error: OSError) -> None:
     if not progress.is_lost:
         log(STORE_LOST, detail=repr(error))
     progress.is_lost = True
+    progress.failed_count = min(progress.failed_count + 1, MOST_FAILURES)
 
 
 def _note_heard(tier: Tier) -> None:
     tier.progress.heard_seconds = tiers.now()
+    tier.progress.failed_count = 0
     if tier.progress.is_lost:
         tier.progress.is_lost = False
         directory.note_store_back(tier.directory, tiers.now())
@@ -156,12 +191,14 @@
 
 
 async def _read_all(tier: Tier, client: StoreClient) -> int:
-    routes = await client.read(TABLE_KEY)
-    listed = await client.read(TARGETS_PREFIX)
+    timeout_seconds = read_seconds(tier.progress)
+    routes = await client.read(TABLE_KEY, timeout_seconds)
+    listed = await client.read(TARGETS_PREFIX, timeout_seconds)
     _note_heard(tier)
     _offer_routes(tier, routes)
     entries = {entry.target: entry for entry in _entries(tier, listed.changes)}
     directory.replace_all(tier.directory, entries, tiers.now())
+    note_all(tier.progress.history, entries, routes.revision)
     return routes.revision
 
 
@@ -171,26 +208,31 @@
             tiers.offer_table(tier, change.body, 'store')
 
 
-def _apply(tier: Tier, changes: Iterable[Change]) -> None:
-    latest = {change.key: change for change in changes}
+def _apply(tier: Tier, changes: Changes) -> None:
+    latest = {change.key: change for change in changes.changes}
     removed = []
     for change in latest.values():
         if change.key == TABLE_KEY:
             _offer_routes(tier, Changes((change,), 0))
         elif change.key.startswith(TARGETS_PREFIX):
+            target = change.key.removeprefix(TARGETS_PREFIX)
             if change.body is None:
-                removed.append(change.key.removeprefix(TARGETS_PREFIX))
+                removed.append(target)
+                note_removed(tier.progress.history, target, changes.revision)
             else:
-                _put(tier, change)
+                _put(tier, change, changes.revision)
     directory.remove_entries(tier.directory, removed, tiers.now())
 
 
-def _put(tier: Tier, change: Change) -> None:
+def _put(tier: Tier, change: Change, revision: int) -> None:
+    target = change.key.removeprefix(TARGETS_PREFIX)
     for entry in _entries(tier, (change,)):
         directory.put_entry(tier.directory, entry, tiers.now())
+        note_put(tier.progress.history, target, revision)
         return
     # What stands there now names no target to use.
-    directory.drop(tier.directory, change.key.removeprefix(TARGETS_PREFIX))
+    directory.drop(tier.directory, target)
+    note_removed(tier.progress.history, target, revision)
 
 
 def _entries(tier: Tier, changes: Iterable[Change]) -> Iterable[TargetEntry]:
--- a/celeryturn/forwarding/tier.py
+++ b/celeryturn/forwarding/tier.py
@@ -7,6 +7,7 @@
 from celeryturn.clock import running_seconds
 from celeryturn.decisions import extra_load, membership
 from celeryturn.decisions.directory import Directory
+from celeryturn.decisions.entry_history import EntryHistory
 from celeryturn.decisions.latency import LatencyWindow
 from celeryturn.decisions.line_budget import LineBudget
 from celeryturn.decisions.replicas import Replica
@@ -31,16 +32,38 @@
     :param revision: Up to here nothing was missed; zero before a whole read.
     :param is_lost: Whether the last call failed.
     :param heard_seconds: When it last answered.
+    :param failed_count: Calls in a row that failed, up to a bound.
     :param overtaken: Set when a peer has been further for too long.
+    :param peer_revision: Up to here the list of targets was heard of peers.
+    :param asked_seconds: When a peer was last asked for it.
+    :param history: When the entries of the list changed.
     """
 
-    __slots__ = ('heard_seconds', 'is_lost', 'overtaken', 'revision')
+    __slots__ = (
+        'asked_seconds',
+        'failed_count',
+        'heard_seconds',
+        'history',
+        'is_lost',
+        'overtaken',
+        'peer_revision',
+        'revision',
+    )
 
     def __init__(self) -> None:
         self.revision = 0
         self.is_lost = False
         self.heard_seconds = 0.0
+        self.failed_count = 0
         self.overtaken = asyncio.Event()
+        self.peer_revision = 0
+        self.history = EntryHistory()
+        self.asked_seconds = 0.0
+
+    @property
+    def listed_revision(self) -> int:
+        """Revision up to which the list of targets is known."""
+        return max(self.revision, self.peer_revision)
 
 
 class Stoppable(Protocol):
--- a/celeryturn/instance.py
+++ b/celeryturn/instance.py
@@ -8,6 +8,7 @@
 from celeryturn.decisions import adoption, fleet, membership
 from celeryturn.decisions.bookings import BookingTable
 from celeryturn.decisions.document import Published, parse_document
+from celeryturn.decisions.entry_history import Listed
 from celeryturn.decisions.freshness import Freshness
 from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.events import ADOPTED, MEMBER_CHANGED, NOT_ADOPTED, log
@@ -26,6 +27,11 @@
     :param offer: Takes those of a peer in.
     :param revision: Reads how far the store was followed.
     :param hear_revision: Takes in how far a peer has followed it.
+    :param lacks: Tells whether routes or targets are not known yet.
+    :param wants_since: Reads since which revision a peer is asked for
+        targets; ``None`` where the store serves, or a peer knows no more.
+    :param listed: Reads what changed in the list of targets.
+    :param offer_listed: Takes a peer's list of targets in.
     """
 
     version: Callable[[], int]
@@ -33,18 +39,30 @@
     offer: Callable[[bytes], None]
     revision: Callable[[], int]
     hear_revision: Callable[[int], None]
+    lacks: Callable[[], bool]
+    wants_since: Callable[[int], int | None]
+    listed: Callable[[int], Listed | None]
+    offer_listed: Callable[[Listed], None]
 
 
 def _nothing(_heard: object) -> None:
     """Take something in that has no use here."""
 
 
+def _nobody(_revision: int) -> None:
+    """Answer that there is nothing to exchange."""
+
+
 NO_ROUTES: Final = Routes(
     version=int,
     body=bytes,
     offer=_nothing,
     revision=int,
     hear_revision=_nothing,
+    lacks=bool,
+    wants_since=_nobody,
+    listed=_nobody,
+    offer_listed=_nothing,
 )
 
 
--- a/celeryturn/peers/dialogue.py
+++ b/celeryturn/peers/dialogue.py
@@ -93,10 +93,29 @@
     match message:
         case messages.Ping() | messages.Pong():
             yield from _want_table(instance, message)
+            yield from want_listed(instance, message.store_revision)
         case messages.WantTable():
             yield from _table(instance)
         case messages.Table(body):
             instance.routes.offer(body)
+        case messages.WantListed(since_revision):
+            yield from _listed(instance, since_revision)
+        case messages.TargetList(listed):
+            instance.routes.offer_listed(listed)
+
+
+def want_listed(
+    instance: Instance, heard_revision: int
+) -> Iterator[messages.WantListed]:
+    """Ask for the list of targets, where the store does not tell it.
+
+    :param instance: The instance that lacks it.
+    :param heard_revision: How far the peer has followed the store.
+    :returns: A request, possibly none.
+    """
+    since = instance.routes.wants_since(heard_revision)
+    if since is not None:
+        yield messages.WantListed(since)
 
 
 def _want_table(
@@ -112,6 +131,14 @@
         yield messages.Table(instance.routes.body())
 
 
+def _listed(
+    instance: Instance, since_revision: int
+) -> Iterator[messages.TargetList]:
+    listed = instance.routes.listed(since_revision)
+    if listed is not None:
+        yield messages.TargetList(listed)
+
+
 def _documents(instance: Instance, service: str) -> Iterator[messages.Document]:
     known = instance.services.get(service)
     if known is not None:
--- a/celeryturn/peers/messages.py
+++ b/celeryturn/peers/messages.py
@@ -6,6 +6,7 @@
 
 import cbor2
 
+from celeryturn.decisions.entry_history import Listed
 from celeryturn.decisions.membership import Member
 from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.schema import decode, encode
@@ -113,6 +114,24 @@
     body: bytes
 
 
+class WantListed(NamedTuple):
+    """A request for the list of targets.
+
+    :param since_revision: Up to here the asker knows it; zero for all.
+    """
+
+    since_revision: Count
+
+
+class TargetList(NamedTuple):
+    """The list of targets, or what changed in it.
+
+    :param listed: Entries.
+    """
+
+    listed: Listed
+
+
 Message: TypeAlias = (
     Hello
     | Ping
@@ -123,6 +142,8 @@
     | Document
     | WantTable
     | Table
+    | WantListed
+    | TargetList
 )
 
 _TYPES: Final[Mapping[str, type[Message]]] = MappingProxyType(
@@ -136,6 +157,8 @@
         'document': Document,
         'want_table': WantTable,
         'table': Table,
+        'want_listed': WantListed,
+        'target_list': TargetList,
     }
 )
 _NAMES: Final[Mapping[type[Message], str]] = MappingProxyType(
--- a/celeryturn/peers/network.py
+++ b/celeryturn/peers/network.py
@@ -19,7 +19,7 @@
     versions_of,
 )
 from celeryturn.peers import messages
-from celeryturn.peers.dialogue import reply_to
+from celeryturn.peers.dialogue import reply_to, want_listed
 from celeryturn.peers.links import PeerLink, put, write_queue
 from celeryturn.platform.watcher import share_anew
 from celeryturn.settings import Endpoint
@@ -94,13 +94,17 @@
         _ask_neighbours(network)
         for name in behind(network):
             broadcast(network, messages.Want(name))
+        is_lacking = instance.routes.lacks()
+        if is_lacking:
+            _ask_for_all(network)
         changed = membership.tick(
             instance.membership, network.watched, instance.clock()
         )
         spread(network, changed)
         # Seeds may start a little later than this instance.
         is_alone = network.seeds and not network.first_heard.is_set()
-        await asyncio.sleep(ALONE_SECONDS if is_alone else every_seconds)
+        is_hurried = is_alone or is_lacking
+        await asyncio.sleep(ALONE_SECONDS if is_hurried else every_seconds)
 
 
 def behind(network: Network) -> list[str]:
@@ -211,6 +215,19 @@
             put(link, ping)
 
 
+def _ask_for_all(network: Network) -> None:
+    # One peer after the other: what it sends is large.
+    instance = network.instance
+    links = tuple(network.links)
+    if not links:
+        return
+    link = links[int(instance.random() * len(links))]
+    if not instance.routes.version():
+        put(link, messages.WantTable(0))
+    for request in want_listed(instance, 0):
+        put(link, request)
+
+
 def _dial_only(network: Network, urls: dict[str, str]) -> None:
     for name, url in urls.items():
         if name not in network.dialling:
--- a/celeryturn/platform/store.py
+++ b/celeryturn/platform/store.py
@@ -11,7 +11,6 @@
 
 BodyT = TypeVar('BodyT')
 
-READ_SECONDS: Final = 1.5
 CONNECT_SECONDS: Final = 1.0
 MILLISECONDS: Final = 1000
 OK: Final = 200
@@ -83,10 +82,11 @@
         self.endpoint = endpoint
         self._connection: Connection | None = None
 
-    async def read(self, prefix: str) -> Changes:
+    async def read(self, prefix: str, timeout_seconds: float) -> Changes:
         """Read all keys of a prefix.
 
         :param prefix: Beginning of the keys.
+        :param timeout_seconds: Longest wait for each page.
         :returns: The keys; their revision is that of the first page, since
             pages are no snapshot.
         :raises StoreError: When they cannot all be read.
@@ -99,7 +99,7 @@
             if after:
                 # Here a key; in a watch the same field is a revision.
                 query['after'] = after
-            reply = await self._get('/v1/kv-range', query, READ_SECONDS)
+            reply = await self._get('/v1/kv-range', query, timeout_seconds)
             body = _decode(_range_decoder, reply)
             revision = revision if page else body['CurrentRev']
             found.extend(map(_change, body['items']))
--- a/tests/forwarding/forward.feature
+++ b/tests/forwarding/forward.feature
@@ -146,9 +146,31 @@
     And a second instance is started
     Then both instances have version 1
 
+  Scenario: An instance that starts while the store is away serves what its peers know
+    Given a plain route to 2 targets
+    When the store turns busy
+    And a second instance is started
+    And a caller asks the second instance for "/one/x"
+    Then the answer has the status 200 and the body of a target
+
+  Scenario: An instance that knows no targets is not ready and not advised
+    Given a plain route to 1 targets
+    And the first instance has forgotten its targets while the store is away
+    When a second instance learns the routes alone
+    Then the second instance says that it is not ready
+
+  Scenario: An instance that the store turns away learns of targets from its peers
+    Given a plain route to 2 targets
+    And a second instance, which the store turns away from then on
+    When one more target is listed, one drains and one is gone
+    Then the second instance lists the same targets as the first
+
   Scenario: A watch that a silent store forgot is given up in time
     Then within 4 s of a silent store's return a watch has been asked for anew
 
+  Scenario: An instance that knows nothing asks a silent store again soon
+    Then within 2 s it has asked a silent store 3 times, the last time for longest
+
   Scenario: A fault of this program does not stop the instance from following
     Given a plain route to 1 targets
     When one change makes the program fail
--- a/tests/steps/decoders.py
+++ b/tests/steps/decoders.py
@@ -16,7 +16,9 @@
 from hypothesis import strategies as st
 
 from celeryturn.decisions.document import Index, parse_document, shard_of
+from celeryturn.decisions.entry_history import Listed
 from celeryturn.decisions.membership import Member, Status
+from celeryturn.decisions.replicas import TargetEntry
 from celeryturn.entry.bodies import BookBody, SearchBody, read_body
 from celeryturn.errors import CeleryturnError
 from celeryturn.http.messages import HttpRequest
@@ -113,6 +115,31 @@
     attempt()
 
 
+def _listed() -> st.SearchStrategy[Listed]:
+    names = st.text(max_size=10)
+    numbers = st.integers(0, 2**60)
+    entries = st.builds(
+        TargetEntry,
+        names,
+        names,
+        st.just('127.0.0.1'),
+        st.integers(1, 65535),
+        names,
+        numbers,
+        st.booleans(),
+        st.floats(0, 60),
+        numbers,
+        numbers,
+    )
+    return st.builds(
+        Listed,
+        numbers,
+        st.booleans(),
+        st.lists(entries, max_size=3).map(tuple),
+        st.lists(names, max_size=3).map(tuple),
+    )
+
+
 @then('every peer message comes back as it was')
 def try_round_trip(context: Context) -> None:
     """Pack and unpack."""
@@ -131,6 +158,8 @@
         st.builds(messages.Ping, st.floats(allow_nan=False), counts, counts),
         st.builds(messages.WantTable, counts),
         st.builds(messages.Table, st.binary(max_size=50)),
+        st.builds(messages.WantListed, counts),
+        st.builds(messages.TargetList, _listed()),
         st.builds(messages.Document, st.binary(max_size=50)),
         st.builds(messages.Members, st.lists(members, max_size=5).map(tuple)),
     )
--- a/tests/steps/forward.py
+++ b/tests/steps/forward.py
@@ -12,7 +12,7 @@
 from celeryturn.decisions import directory
 from celeryturn.forwarding import follow
 from celeryturn.forwarding.app import ForwardingApplication
-from celeryturn.forwarding.tier import StoreProgress
+from celeryturn.forwarding.tier import StoreProgress, Tier
 from celeryturn.http.messages import HttpReply, header
 from standins.shard_target import Fault
 from standins.store import Mode
@@ -317,6 +317,24 @@
         assert given_up + follow.MOST_RETRY_SECONDS < bound, given_up
 
 
+@then(
+    'within {bound:d} s it has asked a silent store {count:d} times, the last'
+    ' time for longest'
+)
+def expect_asked_soon(context: Context, bound: int, count: int) -> None:
+    """Expect short reads first, since nobody is served meanwhile."""
+    progress = StoreProgress()
+    passed_seconds = 0.0
+    waits = []
+    for failed_count in range(count):
+        progress.failed_count = failed_count
+        waits.append(follow.read_seconds(progress))
+        passed_seconds += follow.retry_seconds(progress, 0.5)
+    assert waits == sorted(set(waits)), waits
+    passed_seconds += sum(waits[:-1])
+    assert passed_seconds < bound, (passed_seconds, waits)
+
+
 @when('one change makes the program fail')
 def fail_once(context: Context) -> None:
     """Let the code that takes in changes fail once."""
@@ -328,6 +346,65 @@
         _run(context, world.wait_for(lambda: put.call_count))
 
 
+@when('a caller asks the second instance for "{path}"')
+def ask_second(context: Context, path: str) -> None:
+    """Ask an instance that has started later."""
+    request = caller_request(path)
+    context.replies = [_run(context, _world(context).ask(request, 1))]
+
+
+@given('the first instance has forgotten its targets while the store is away')
+def forget_targets(context: Context) -> None:
+    """Leave the routes in force, and nobody who knows targets."""
+    world = _world(context)
+    turn_store(context, 'silent')
+    tier = world.applications[0].tier
+    tier.progress.revision = 0
+    tier.directory = directory.Directory()
+
+
+@when('a second instance learns the routes alone')
+def start_without_targets(context: Context) -> None:
+    """Start an instance that cannot learn of targets."""
+    world = _world(context)
+    _run(context, world.start_instance())
+    second = world.applications[1]
+    _run(context, world.wait_for(lambda: second.tier.table))
+    _run(context, world.wait_for(second.network.first_heard.is_set))
+
+
+@when('one more target is listed, one drains and one is gone')
+def change_targets(context: Context) -> None:
+    """Change the list in each way."""
+    world = _world(context)
+    _run(context, world.start_targets('more', 1))
+    world.list_target(f'{SERVICE}-0', SERVICE, State='draining')
+    world.store.delete(f'servers/{SERVICE}-1')
+
+
+@then('the second instance lists the same targets as the first')
+def expect_same_targets(context: Context) -> None:
+    """Expect what the store says now at both."""
+    world = _world(context)
+    expected = {f'{SERVICE}-0': True, 'more-0': False}
+    for application in world.applications:
+        _run(context, _until_listed(world, application.tier, expected))
+
+
+async def _until_listed(
+    world: RoutedWorld, tier: Tier, expected: dict[str, bool]
+) -> None:
+    await world.wait_for(lambda: _listed(tier) == expected)
+
+
+def _listed(tier: Tier) -> dict[str, bool]:
+    return {
+        target: replica.entry.is_draining
+        for of_service in tier.directory.replicas.values()
+        for target, replica in of_service.items()
+    }
+
+
 @then('the instance has version {version:d}')
 def expect_one_version(context: Context, version: int) -> None:
     """Expect a version in force."""
