A late answer names what it waited for, and why no second target was asked

Cause: legs with one attempt that came late were left out of a request's line, so that a trial's late answers could not be told apart; 'no extra load' and 'no other target' looked the same. Each leg says now what a second attempt lacked; story and why tell it.

--- a/celeryturn/decisions/legs.py
+++ b/celeryturn/decisions/legs.py
@@ -1,5 +1,6 @@
 """State, events and actions of one request to one or more services."""
 
+import enum
 from collections.abc import Callable, Sequence
 from typing import NamedTuple, TypeAlias
 
@@ -74,6 +75,13 @@
     at_seconds: float
 
 
+class Lacking(enum.StrEnum):
+    """What a second target could not be asked for."""
+
+    TARGET = 'no target'
+    EXTRA_LOAD = 'no extra load'
+
+
 Action: TypeAlias = Send | Cancel | Finish | Wake
 Actions: TypeAlias = list[Action]
 
@@ -88,12 +96,14 @@
     :param is_settled: Whether nothing more is sent for it.
     :param last_verdict: Why the last attempt failed.
     :param hedge_seconds: When a second target may be asked.
+    :param lacking: Why none was asked though it was time to.
     """
 
     __slots__ = (
         'attempts',
         'hedge_seconds',
         'is_settled',
+        'lacking',
         'last_verdict',
         'reply',
         'run_count',
@@ -108,6 +118,7 @@
         self.is_settled = False
         self.last_verdict: Verdict | None = None
         self.hedge_seconds = 0.0
+        self.lacking: Lacking | None = None
 
 
 class Sharded:
--- a/celeryturn/decisions/sharded.py
+++ b/celeryturn/decisions/sharded.py
@@ -11,6 +11,7 @@
     Attempt,
     Cancel,
     Finish,
+    Lacking,
     Leg,
     Send,
     Sharded,
@@ -138,6 +139,7 @@
                 _send(request, position, replica, view),
                 Wake(_next_wake_seconds(request, view)),
             ]
+        leg.lacking = Lacking.EXTRA_LOAD if replica else Lacking.TARGET
     _settle(request, leg)
     if _is_settled(request):
         return _finish(request)
@@ -171,10 +173,12 @@
     leg = request.legs[position]
     replica = _choose(request, position, view)
     service = request.plan.services[position]
-    if replica is None or not view.spend(service, HEDGE_RESERVE):
-        leg.hedge_seconds = view.now_seconds + HEDGE_AGAIN_SECONDS
-        return []
-    return [_send(request, position, replica, view)]
+    if replica is not None and view.spend(service, HEDGE_RESERVE):
+        leg.lacking = None
+        return [_send(request, position, replica, view)]
+    leg.lacking = Lacking.EXTRA_LOAD if replica else Lacking.TARGET
+    leg.hedge_seconds = view.now_seconds + HEDGE_AGAIN_SECONDS
+    return []
 
 
 def _choose(request: Sharded, position: int, view: View) -> Replica | None:
--- a/celeryturn/forwarding/accounts.py
+++ b/celeryturn/forwarding/accounts.py
@@ -27,12 +27,15 @@
 
     :param service: Name of the service.
     :param outcome: Why it ended as it did.
+    :param lacking: What a second target could not be asked for; empty where
+        it was asked or not needed.
     :param attempts: Target, milliseconds from admission to send and to the
         end, and verdict of each attempt.
     """
 
     service: str
     outcome: str
+    lacking: str
     attempts: list[tuple[str, int, int | None, str]]
 
 
@@ -105,12 +108,19 @@
 def _bad_legs(runner: Runner) -> list[LegAccount]:
     # Those that went well at once say nothing about the cause.
     plan = runner.work.plan
+    late = {
+        past.leg
+        for past in runner.history.values()
+        if past.ended_seconds > plan.due_seconds
+    }
     return [
         _account(runner, position, service, leg)
         for position, (service, leg) in enumerate(
             zip(plan.services, runner.state.legs, strict=True)
         )
-        if leg.last_verdict is not Verdict.SUCCEEDED or len(leg.tried) > 1
+        if leg.last_verdict is not Verdict.SUCCEEDED
+        or len(leg.tried) > 1
+        or position in late
     ]
 
 
@@ -133,7 +143,12 @@
         for past in runner.history.values()
         if past.leg == position
     ]
-    return {'service': service, 'outcome': outcome, 'attempts': attempts}
+    return {
+        'service': service,
+        'outcome': outcome,
+        'lacking': str(leg.lacking or ''),
+        'attempts': attempts,
+    }
 
 
 def _milliseconds(seconds: float) -> int:
--- a/celeryturn/story.py
+++ b/celeryturn/story.py
@@ -167,15 +167,19 @@
         return
     route = line.fields.get('route')
     status = line.fields.get('status')
+    legs = line.fields.get(LEGS, ())
     failed = [
-        leg
-        for leg in line.fields.get(LEGS, ())
+        f'{leg["service"]} {leg["outcome"]}'
+        for leg in legs
         if leg['outcome'] != 'succeeded'
     ]
-    for leg in failed:
-        yield f'{route}: {status}: {leg["service"]} {leg["outcome"]}'
-    if not failed:
-        yield f'{route}: {status}: late'
+    lacking = {
+        f'late, {leg["lacking"]} for a second attempt'
+        for leg in legs
+        if leg.get('lacking')
+    }
+    for cause in failed or sorted(lacking) or ('late',):
+        yield f'{route}: {status}: {cause}'
 
 
 def _paragraph(line: Line) -> Iterator[str]:
@@ -184,7 +188,9 @@
     )
     yield f'{line.place} {line.event}: {said}'
     for leg in line.fields.get(LEGS, ()):
-        yield f'  {leg["service"]}: {leg["outcome"]}'
+        lacking = leg.get('lacking')
+        more = f', {lacking} for a second attempt' if lacking else ''
+        yield f'  {leg["service"]}: {leg["outcome"]}{more}'
         for attempt in leg['attempts']:
             yield f'    {_attempt(*attempt)}'
 
--- a/tests/story.feature
+++ b/tests/story.feature
@@ -21,6 +21,8 @@
     When a caller asks for "/one/x"
     Then the story of "attempt-1" has "late=True"
     And the story of "attempt-1" has "status=200"
+    And the story of "attempt-1" has "bookings: succeeded, no target for a second attempt"
+    And the causes have "route /one/: 200: late, no target for a second attempt"
 
   Scenario: Causes are counted, and lines that cannot be read too
     Given a gather route over 3 shards of 2 targets
