Without extra load to spare, a target that may pause is left alone sooner

Now a silence as long as the usual slow latency suffices for suspicion while less than half of what may be saved up is left. A first attempt elsewhere costs no extra load. Ruled out before: early hedges (they empty the budget sooner).

--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -184,6 +184,14 @@
             self.world.on_extra(service)
         return is_allowed
 
+    def is_short(self, service: str) -> bool:
+        """Tell whether little extra load is left.
+
+        :param service: Name of the service.
+        :returns: What the policy says.
+        """
+        return self.world.policy.is_short(self.budget(service), self._part)
+
     def window(self, kind: Kind) -> LatencyWindow:
         """Find the observed latencies of a kind.
 
@@ -396,6 +404,7 @@
             zone=instance.zone,
             random=instance.world.chance.random,
             spend=instance.spend,
+            is_short=instance.is_short,
         )
 
 
--- a/bench/model/policies.py
+++ b/bench/model/policies.py
@@ -15,12 +15,14 @@
     :param prefers_zone: Whether targets of the own zone come first.
     :param hedge_after_seconds: Silence after which another one is asked.
     :param spend: Takes from the extra load.
+    :param is_short: Tells whether little of it is left.
     """
 
     observes: bool
     prefers_zone: bool
     hedge_after_seconds: Callable[[replicas.Usual, float], float]
     spend: Callable[[extra_load.ExtraLoad, float], bool]
+    is_short: Callable[[extra_load.ExtraLoad, extra_load.Part], bool]
 
 
 def never(usual: replicas.Usual, left_seconds: float) -> float:
@@ -33,11 +35,22 @@
     return float('inf')
 
 
+def never_short(budget: extra_load.ExtraLoad, part: extra_load.Part) -> bool:
+    """Go by the same silence however little extra load is left.
+
+    :param budget: Not looked at.
+    :param part: Not looked at.
+    :returns: Always false.
+    """
+    return False
+
+
 CURRENT: Final = Policy(
     observes=True,
     prefers_zone=True,
     hedge_after_seconds=pacing.hedge_after_seconds,
     spend=extra_load.spend,
+    is_short=extra_load.is_short,
 )
 POLICIES: Final[Mapping[str, Policy]] = MappingProxyType(
     {
@@ -47,8 +60,10 @@
             prefers_zone=False,
             hedge_after_seconds=never,
             spend=extra_load.spend,
+            is_short=never_short,
         ),
         'without-hedges': CURRENT._replace(hedge_after_seconds=never),
         'without-zones': CURRENT._replace(prefers_zone=False),
+        'patient': CURRENT._replace(is_short=never_short),
     }
 )
--- a/celeryturn/decisions/extra_load.py
+++ b/celeryturn/decisions/extra_load.py
@@ -12,6 +12,7 @@
 SAVED_RATIO_SHARE: Final = 0.4
 EARNED_RATIO_SHARE: Final = 0.5
 START_SLACK_SHARE: Final = 0.45
+SHORT_SHARE: Final = 0.5
 UNKNOWN_FLEET_COUNT: Final = 32
 
 
@@ -79,10 +80,18 @@
     faded = math.exp(-age_seconds / bounds.window_seconds)
     budget.recent_count = budget.recent_count * faded + 1
     budget.counted_seconds = now_seconds
-    saved_count = SAVED_RATIO_SHARE * bounds.ratio * budget.recent_count
-    capacity = start_count(part) + saved_count
     earned = budget.tokens + EARNED_RATIO_SHARE * bounds.ratio
-    budget.tokens = min(capacity, earned)
+    budget.tokens = min(_capacity(budget, part), earned)
+
+
+def is_short(budget: ExtraLoad, part: Part) -> bool:
+    """Tell whether extra requests may soon not be possible.
+
+    :param budget: The instance's bucket.
+    :param part: What it may send.
+    :returns: Whether little is left of what may be saved up.
+    """
+    return budget.tokens < SHORT_SHARE * _capacity(budget, part)
 
 
 def spend(budget: ExtraLoad, reserve: float = 0) -> bool:
@@ -97,3 +106,8 @@
     budget.tokens -= 1
     budget.extra_count += 1
     return True
+
+
+def _capacity(budget: ExtraLoad, part: Part) -> float:
+    ratio = part.bounds.ratio
+    return start_count(part) + SAVED_RATIO_SHARE * ratio * budget.recent_count
--- a/celeryturn/decisions/legs.py
+++ b/celeryturn/decisions/legs.py
@@ -163,6 +163,7 @@
     :param zone: Availability zone of this instance.
     :param random: A number between 0 and 1.
     :param spend: Takes from the extra load of a service, leaving a reserve.
+    :param is_short: Tells whether little of it is left.
     """
 
     now_seconds: float
@@ -172,3 +173,4 @@
     zone: str
     random: Callable[[], float]
     spend: Callable[[str, float], bool]
+    is_short: Callable[[str], bool]
--- a/celeryturn/decisions/pacing.py
+++ b/celeryturn/decisions/pacing.py
@@ -53,6 +53,15 @@
     )
 
 
+def impatient(usual: Usual) -> Usual:
+    """Suspect a pause as soon as a target is slower than usual.
+
+    :param usual: What is usual for the route.
+    :returns: The same with a shorter silence that suggests a pause.
+    """
+    return usual._replace(stall_seconds=usual.slow_seconds)
+
+
 def hedge_after_seconds(usual: Usual, left_seconds: float) -> float:
     """Work out after what silence a second target is asked.
 
--- a/celeryturn/decisions/sharded.py
+++ b/celeryturn/decisions/sharded.py
@@ -18,6 +18,7 @@
     View,
     Wake,
 )
+from celeryturn.decisions.pacing import impatient
 from celeryturn.decisions.replicas import Replica, choose_replica
 from celeryturn.decisions.replies import NOT_RUN, TargetReply, Verdict
 
@@ -183,13 +184,16 @@
 
 def _choose(request: Sharded, position: int, view: View) -> Replica | None:
     tried = request.legs[position].tried
+    service = request.plan.services[position]
+    # What is sent into a pause could not be made up for by a second target.
+    is_short = view.is_short(service)
     return choose_replica(
         (
             replica
-            for replica in view.serving(request.plan.services[position])
+            for replica in view.serving(service)
             if replica.entry.target not in tried
         ),
-        view.usual,
+        impatient(view.usual) if is_short else view.usual,
         view.zone,
         view.now_seconds,
         view.random(),
--- a/celeryturn/forwarding/runner.py
+++ b/celeryturn/forwarding/runner.py
@@ -263,6 +263,7 @@
             zone=tier.instance.settings.availability_zone,
             random=tier.instance.random,
             spend=lambda name, reserve: tiers.spend(tier, name, reserve),
+            is_short=lambda name: tiers.is_short(tier, name),
         )
 
 
--- a/celeryturn/forwarding/tier.py
+++ b/celeryturn/forwarding/tier.py
@@ -197,6 +197,16 @@
     return extra_load.spend(budget_of(tier, service), reserve)
 
 
+def is_short(tier: Tier, service: str) -> bool:
+    """Tell whether extra requests to a service may soon not be possible.
+
+    :param tier: The tier.
+    :param service: Name of the service.
+    :returns: Whether little of its budget is left.
+    """
+    return extra_load.is_short(budget_of(tier, service), part_of(tier))
+
+
 def part_of(tier: Tier) -> extra_load.Part:
     """Tell this instance's part of the extra load.
 
--- a/tests/decisions/sharded.feature
+++ b/tests/decisions/sharded.feature
@@ -18,6 +18,19 @@
     Then it is finished with 3 parts
     And attempt 3 was cancelled
 
+  Scenario: While a second attempt is possible, a short silence is borne
+    Given an idempotent request to 1 shards of 2 targets, of which 1 must reply
+    And the first target of the shard has been silent for 60 ms
+    When it begins
+    Then it was sent to the first target
+
+  Scenario: Without extra load left, a target that may pause is left alone sooner
+    Given an idempotent request to 1 shards of 2 targets, of which 1 must reply
+    And no extra load is left
+    And the first target of the shard has been silent for 60 ms
+    When it begins
+    Then it was sent to the second target
+
   Scenario: When an answer would be late, it goes out with the parts there are
     Given an idempotent request to 3 shards of 2 targets, of which 2 must reply
     When it begins
--- a/tests/steps/sharded.py
+++ b/tests/steps/sharded.py
@@ -63,6 +63,21 @@
     context.has_budget = False
 
 
+@given('the first target of the shard has been silent for {milliseconds:d} ms')
+def given_silent(context: Context, milliseconds: int) -> None:
+    """Let a request to it be under way."""
+    replica = context.replicas['s0'][0]
+    replica.slowness = 0.5
+    replica.pending[0] = START_SECONDS - milliseconds / 1000
+
+
+@then('it was sent to the {place} target')
+def expect_place(context: Context, place: str) -> None:
+    """Expect the first or the second target."""
+    number = ('first', 'second').index(place)
+    assert context.sent[0].replica.entry.target == f's0-{number}', context.sent
+
+
 @when('it begins')
 def begin(context: Context) -> None:
     """Begin the request."""
@@ -217,6 +232,7 @@
         zone='near',
         random=random.Random(3).random,
         spend=lambda service, reserve: context.has_budget,
+        is_short=lambda service: not context.has_budget,
     )
 
 
