State dump of the routed daemon; three failures of a real process, told from its log

Cause: an operator of the routed daemon could not see what it believes, and the three failures were provoked inside one process only. An answer that waited until it was due was told as late by 1 ms.

--- a/celeryturn/decisions/legs.py
+++ b/celeryturn/decisions/legs.py
@@ -2,11 +2,14 @@
 
 import enum
 from collections.abc import Callable, Sequence
-from typing import NamedTuple, TypeAlias
+from typing import Final, NamedTuple, TypeAlias
 
 from celeryturn.decisions.replicas import Replica, Usual
 from celeryturn.decisions.replies import TargetReply, Verdict
 
+# Waking up and writing take up to this where an answer waits until it is due.
+LATE_MARGIN_SECONDS: Final = 0.004
+
 
 class Plan(NamedTuple):
     """What is pinned for a request when it is admitted.
@@ -29,6 +32,16 @@
     deadline_seconds: float
 
 
+def is_late(plan: Plan, now_seconds: float) -> bool:
+    """Tell whether an answer is late that goes out now.
+
+    :param plan: What is pinned for the request.
+    :param now_seconds: Time of the answer.
+    :returns: False also for one that waited until it was due.
+    """
+    return now_seconds > plan.due_seconds + LATE_MARGIN_SECONDS
+
+
 class Attempt(NamedTuple):
     """One send of a leg.
 
--- a/celeryturn/forwarding/accounts.py
+++ b/celeryturn/forwarding/accounts.py
@@ -2,7 +2,7 @@
 
 from typing import Final, TypedDict
 
-from celeryturn.decisions.legs import Leg
+from celeryturn.decisions import legs
 from celeryturn.decisions.line_budget import may_write, take_dropped
 from celeryturn.decisions.replies import Verdict
 from celeryturn.events import (
@@ -52,7 +52,7 @@
     plan = runner.work.plan
     state = runner.state
     now_seconds = tiers.now()
-    is_late = now_seconds > plan.due_seconds
+    is_late = legs.is_late(plan, now_seconds)
     is_bad = is_late or state.success_count < len(state.legs)
     if not may_write(tier.lines, now_seconds, is_important=is_bad):
         return
@@ -125,7 +125,7 @@
 
 
 def _account(
-    runner: Runner, position: int, service: str, leg: Leg
+    runner: Runner, position: int, service: str, leg: legs.Leg
 ) -> LegAccount:
     outcome = 'silent' if leg.tried else 'no target'
     if leg.last_verdict:
--- a/celeryturn/forwarding/measures.py
+++ b/celeryturn/forwarding/measures.py
@@ -68,7 +68,9 @@
         :raises CeleryturnError: ``unknown_path``.
         """
         if request.url != METRICS_PATH:
-            raise CeleryturnError(Kind.UNKNOWN_PATH, f'only {METRICS_PATH}')
+            raise CeleryturnError(
+                Kind.UNKNOWN_PATH, f'only {METRICS_PATH} and /v1/state'
+            )
         _set_levels(tier, self.levels)
         rendered, headers = render(self.registry, ['text/plain'])
         kind = ('content-type', headers['Content-Type'])
--- a/tests/decisions/sharded.feature
+++ b/tests/decisions/sharded.feature
@@ -38,6 +38,10 @@
     And 200 ms pass
     Then it is finished with 2 parts
 
+  Scenario: What goes out when it is due is not told as late
+    Given an idempotent request to 3 shards of 2 targets, of which 2 must reply
+    Then an answer after 202 ms is in time, and one after 206 ms is late
+
   Scenario: With too few parts it waits on until there are enough
     Given an idempotent request to 3 shards of 2 targets, of which 2 must reply
     When it begins
--- a/tests/steps/node.py
+++ b/tests/steps/node.py
@@ -20,16 +20,20 @@
 from celeryturn.http.messages import HttpReply, HttpRequest
 from celeryturn.settings import Endpoint
 from examples.fleet import free_ports
+from standins.shard_target import Fault
 from tests.support.routed import (
     ADDRESS,
     PORTS,
     WAIT_SECONDS,
     RoutedWorld,
     caller_request,
+    gather_route,
     plain_route,
 )
 
 SERVICE = 'bookings'
+ONCE = 'once'
+SHARDS = ('shard-0', 'shard-1', 'shard-2')
 SETTINGS = """\
 NodeName=front-near-1
 Role=entry
@@ -113,6 +117,78 @@
     assert 'celeryturn_table_version' in families, families
 
 
+@then('it dumps its state on request')
+def expect_state(context: Context) -> None:
+    """Ask for the state as an operator does."""
+    at = f'{ADDRESS}:{context.ports["metrics"]}'
+    loop = context.loop
+    asked = loop.run_in_executor(None, lambda: cli.state(at, json=True))
+    state = json.loads(_run(context, asked))[0]
+    assert state['table_version'] == 1, state
+    assert state['services'][SERVICE]['targets'][f'{SERVICE}-0'], state
+    held, most = state['tables']['targets'].values()
+    assert held < most, state
+
+
+@given('one more route over 3 shards, of which 2 must reply')
+def add_gather(context: Context) -> None:
+    """Publish a gather route and one that runs once beside the plain one."""
+    world = context.routed
+    for service in (*SHARDS, ONCE):
+        _run(context, world.start_targets(service, 1))
+    world.publish(2, *_routes(objective_ms=1000))
+
+
+@when('2 shards fail, and a caller asks for all of them as "{request}"')
+def fail_partly(context: Context, request: str) -> None:
+    """Fail under the least share."""
+    for service in SHARDS[:2]:
+        context.routed.targets[f'{service}-0'].fault = Fault.FAIL
+    reply = _ask_named(context, '/all/x', request)
+    assert reply.status == 502, reply
+
+
+@when('the target sheds, and a caller books as "{request}"')
+def shed_booking(context: Context, request: str) -> None:
+    """Turn a booking away."""
+    context.routed.targets[f'{ONCE}-0'].fault = Fault.SHED
+    reply = _ask_named(context, '/once/x', request)
+    assert reply.status == 503, reply
+
+
+@when(
+    'the target is slow, the objective shortened, and a caller asks as'
+    ' "{request}"'
+)
+def slow_target(context: Context, request: str) -> None:
+    """Be late by a changed objective."""
+    context.routed.publish(3, *_routes(objective_ms=20))
+    context.routed.targets[f'{SERVICE}-0'].delay_seconds = 0.1
+
+    async def adopted() -> None:
+        at = Endpoint(ADDRESS, context.ports['metrics'])
+        version = b''
+        async with asyncio.timeout(WAIT_SECONDS):
+            while b'celeryturn_table_version 3' not in version:
+                reply = await _try(context, at, caller_request('/metrics'))
+                version = reply.body if reply else b''
+
+    _run(context, adopted())
+    reply = _ask_named(context, '/one/x', request)
+    assert reply.status == 200, reply
+
+
+@then('the story of "{request}" from its output has "{first}" and "{second}"')
+def expect_told(
+    context: Context, request: str, first: str, second: str
+) -> None:
+    """Expect the cause in what the command tells."""
+    path = _write(context.output)
+    told = cli.story(request, str(path))
+    assert first in told, told
+    assert second in told, told
+
+
 @when('the settings file changes and it gets SIGHUP')
 def change_settings(context: Context) -> None:
     """Change the file and say so."""
@@ -176,6 +252,32 @@
         raise AssertionError('no fault was found')
 
 
+def _routes(objective_ms: int) -> tuple[Any, ...]:
+    return (
+        plain_route(SERVICE, TargetLatencyMs=objective_ms),
+        plain_route(ONCE, '/once/', Kind='unsafe'),
+        gather_route(list(SHARDS)),
+    )
+
+
+def _ask_named(context: Context, path: str, request: str) -> HttpReply:
+    asked = caller_request(path)
+    headers = (
+        (name, request if name == 'x-attempt-id' else text)
+        for name, text in asked.headers
+    )
+    asked = asked._replace(headers=tuple(headers))
+
+    async def ask() -> HttpReply:
+        front = Endpoint(ADDRESS, context.ports['front'])
+        connection = await context.routed.connect(front)
+        reply: HttpReply = await connection.exchange_within(asked, WAIT_SECONDS)
+        return reply
+
+    reply: HttpReply = _run(context, ask())
+    return reply
+
+
 def _faulty() -> str:
     lines = SETTINGS.format(
         address=ADDRESS,
--- a/tests/steps/sharded.py
+++ b/tests/steps/sharded.py
@@ -153,6 +153,19 @@
     assert not context.request.under_way
 
 
+@then(
+    'an answer after {soon:d} ms is in time, and one after {late:d} ms is late'
+)
+def expect_late(context: Context, soon: int, late: int) -> None:
+    """Expect what is told of an answer."""
+    plan = context.request.plan
+    told = [
+        legs.is_late(plan, START_SECONDS + milliseconds / 1000)
+        for milliseconds in (soon, late)
+    ]
+    assert told == [False, True], told
+
+
 @then('it is not finished')
 def expect_open(context: Context) -> None:
     """Expect that it goes on."""
