Retry-After is estimated from what is known, and spread

Cause: it was a constant by kind: 2 s from an instance that starts within 50 ms, 0.2 s from shards whose targets are avoided for 2 s. Now as long as the outage has lasted, or until as many services as are needed have a target that is not avoided and has worked off its queue; 0.02 to 2 s, spread by a quarter to both sides.

--- a/celeryturn/errors.py
+++ b/celeryturn/errors.py
@@ -232,15 +232,24 @@
     :param kind: Which of the closed list.
     :param detail: What happened, for a person.
     :param faults: Every fault of the input, where it was the input's.
+    :param retry_after_seconds: When asking again makes sense, where more is
+        known than the table says.
     """
 
     def __init__(
-        self, kind: Kind, detail: str, faults: tuple[Fault, ...] = ()
+        self,
+        kind: Kind,
+        detail: str,
+        faults: tuple[Fault, ...] = (),
+        retry_after_seconds: float | None = None,
     ) -> None:
         super().__init__(detail)
         self.kind = kind
         self.detail = detail
         self.faults = faults
+        if retry_after_seconds is None:
+            retry_after_seconds = ANSWERS[kind].retry_after_seconds
+        self.retry_after_seconds = retry_after_seconds
 
     @property
     def answer(self) -> Answer:
--- a/celeryturn/forwarding/forward.py
+++ b/celeryturn/forwarding/forward.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Final, TypeAlias
 
-from celeryturn.decisions import splitting
+from celeryturn.decisions import directory, return_times, splitting
 from celeryturn.decisions.legs import Plan, Sharded
 from celeryturn.decisions.replies import TargetReply, Verdict
 from celeryturn.decisions.route_table import Route, match_route
@@ -62,7 +62,7 @@
 
 def _route(tier: Tier, request: HttpRequest) -> Route:
     if tier.table is None:
-        raise CeleryturnError(Kind.NOT_CONFIGURED, 'no routes are known yet')
+        raise _not_configured(tier)
     host = header(request.headers, 'host') or ''
     path = request.url.partition('?')[0]
     route = match_route(tier.table, host, path)
@@ -74,6 +74,17 @@
     return route
 
 
+def _not_configured(tier: Tier) -> CeleryturnError:
+    passed_seconds = tiers.now() - tier.progress.heard_seconds
+    return CeleryturnError(
+        Kind.NOT_CONFIGURED,
+        'no routes are known yet',
+        retry_after_seconds=return_times.after_outage(
+            passed_seconds, tier.instance.random()
+        ),
+    )
+
+
 def _require_serving(tier: Tier) -> None:
     if tier.is_refusing:
         raise CeleryturnError(Kind.LEAVING, 'this instance is about to end')
@@ -142,10 +153,30 @@
     ]
 
 
+def _no_target(runner: Runner) -> CeleryturnError:
+    tier = runner.tier
+    plan = runner.work.plan
+    now_seconds = tiers.now()
+    usual = runner.usual(now_seconds)
+    rooms_seconds = (
+        return_times.until_room(
+            directory.serving(tier.directory, service), usual, now_seconds
+        )
+        for service in plan.services
+    )
+    return CeleryturnError(
+        Kind.NO_TARGET,
+        'no target took the request',
+        retry_after_seconds=return_times.when_enough(
+            rooms_seconds, plan.least_count, tier.instance.random()
+        ),
+    )
+
+
 def _failure(route: Route, runner: Runner) -> HttpReply | CeleryturnError:
     state = runner.state
     if not has_run(runner):
-        return CeleryturnError(Kind.NO_TARGET, 'no target took the request')
+        return _no_target(runner)
     is_over = tiers.now() >= state.plan.deadline_seconds
     if is_over:
         return CeleryturnError(Kind.TIMED_OUT, 'no answer in time')
--- a/celeryturn/forwarding/refusals.py
+++ b/celeryturn/forwarding/refusals.py
@@ -15,8 +15,8 @@
     """
     answer = error.answer
     headers: Headers = (('content-type', 'application/json'),)
-    if answer.retry_after_seconds:
-        retry_after = wire.refusal_headers(answer.retry_after_seconds)
+    if error.retry_after_seconds:
+        retry_after = wire.refusal_headers(error.retry_after_seconds)
         headers = (*headers, *retry_after)
     body = msgspec.json.encode(
         {'error': str(error.kind), 'code': answer.code, 'run': str(answer.run)}
--- a/celeryturn/forwarding/runner.py
+++ b/celeryturn/forwarding/runner.py
@@ -120,6 +120,18 @@
         """End the request with what is there."""
         self._apply(sharded.abandon(self.state))
 
+    def usual(self, now_seconds: float) -> replicas.Usual:
+        """Tell what is usual for the route.
+
+        :param now_seconds: Time of the question.
+        :returns: Latencies that are usual, slow and suspicious.
+        """
+        return usual_latency(
+            self._window(now_seconds),
+            self.work.route.objective_seconds,
+            now_seconds,
+        )
+
     def _apply(self, actions: legs.Actions) -> None:
         for action in actions:
             match action:
@@ -178,7 +190,7 @@
             return
         self.has_cancelled = True
         now_seconds = tiers.now()
-        usual = self._usual(now_seconds)
+        usual = self.usual(now_seconds)
         waited_seconds = now_seconds - exchange.written_seconds
         replicas.observe_silence(replica, waited_seconds, usual, now_seconds)
         if waited_seconds > SILENT_FACTOR * usual.stall_seconds:
@@ -220,7 +232,7 @@
             replicas.observe_load(replica, reply.load, now_seconds)
         if reply.verdict is Verdict.SUCCEEDED:
             waited_seconds = now_seconds - exchange.written_seconds
-            usual = self._usual(now_seconds)
+            usual = self.usual(now_seconds)
             replicas.observe_latency(
                 replica, waited_seconds, usual, now_seconds
             )
@@ -240,13 +252,6 @@
             latencies[name] = window
         return window
 
-    def _usual(self, now_seconds: float) -> replicas.Usual:
-        return usual_latency(
-            self._window(now_seconds),
-            self.work.route.objective_seconds,
-            now_seconds,
-        )
-
     def _hedge_after_seconds(self, usual: replicas.Usual) -> float:
         left_seconds = self.work.plan.due_seconds - tiers.now()
         return hedge_after_seconds(usual, left_seconds)
@@ -254,7 +259,7 @@
     def _view(self) -> legs.View:
         tier = self.tier
         now_seconds = tiers.now()
-        usual = self._usual(now_seconds)
+        usual = self.usual(now_seconds)
         return legs.View(
             now_seconds=now_seconds,
             serving=lambda name: directory.serving(tier.directory, name),
--- a/celeryturn/forwarding/tier.py
+++ b/celeryturn/forwarding/tier.py
@@ -31,7 +31,8 @@
 
     :param revision: Up to here nothing was missed; zero before a whole read.
     :param is_lost: Whether the last call failed.
-    :param heard_seconds: When it last answered.
+    :param heard_seconds: When it last answered; before that, the start of
+        this instance.
     :param failed_count: Calls in a row that failed, up to a bound.
     :param overtaken: Set when a peer has been further for too long.
     :param peer_revision: Up to here the list of targets was heard of peers.
@@ -50,10 +51,10 @@
         'revision',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, started_seconds: float = 0.0) -> None:
         self.revision = 0
         self.is_lost = False
-        self.heard_seconds = 0.0
+        self.heard_seconds = started_seconds
         self.failed_count = 0
         self.overtaken = asyncio.Event()
         self.peer_revision = 0
@@ -109,7 +110,7 @@
         self.on_adopted: list[OnAdopted] = []
         self.under_way: set[Stoppable] = set()
         self.is_refusing = False
-        self.progress = StoreProgress()
+        self.progress = StoreProgress(now())
         self.lines = LineBudget(now())
 
 
--- a/celeryturn/queries/tier_dump.py
+++ b/celeryturn/queries/tier_dump.py
@@ -13,7 +13,7 @@
     """How far the platform's store was followed."""
 
     is_lost: bool
-    age_seconds: float | None
+    age_seconds: float
     revision: int
     peer_revision: int
     failed_count: int
@@ -93,10 +93,9 @@
 
 def _store(tier: Tier) -> StoreDump:
     progress = tier.progress
-    heard_seconds = progress.heard_seconds
     return StoreDump(
         is_lost=progress.is_lost,
-        age_seconds=tiers.now() - heard_seconds if heard_seconds else None,
+        age_seconds=tiers.now() - progress.heard_seconds,
         revision=progress.revision,
         peer_revision=progress.peer_revision,
         failed_count=progress.failed_count,
