--- a/celeryturn/decisions/return_times.py
+++ b/celeryturn/decisions/return_times.py
@@ -12,19 +12,26 @@
 from celeryturn.decisions.replicas import Replica, Usual, expected_seconds
 
 LEAST_SECONDS: Final = 0.02
+START_SECONDS: Final = 0.1
+OUTAGE_SECONDS: Final = 1.0
 MOST_SECONDS: Final = 2.0
 LEAST_SPREAD: Final = 0.75
 MOST_SPREAD: Final = 1.25
 
 
-def after_outage(passed_seconds: float, random: float) -> float:
+def after_outage(
+    passed_seconds: float, random: float, *, is_failing: bool
+) -> float:
     """Estimate when something of which only the absence is known is back.
 
     :param passed_seconds: How long it has been away.
     :param random: Between 0 and 1; spreads callers.
+    :param is_failing: Whether it was asked in vain; else it may be there as
+        soon as it has been asked.
     :returns: Seconds: as long again, within bounds.
     """
-    return _spread(passed_seconds, random)
+    least_seconds = OUTAGE_SECONDS if is_failing else START_SECONDS
+    return _spread(max(least_seconds, passed_seconds), random)
 
 
 def until_room(
--- a/celeryturn/forwarding/forward.py
+++ b/celeryturn/forwarding/forward.py
@@ -75,12 +75,15 @@
 
 
 def _not_configured(tier: Tier) -> CeleryturnError:
-    passed_seconds = tiers.now() - tier.progress.heard_seconds
+    progress = tier.progress
+    passed_seconds = tiers.now() - progress.heard_seconds
     return CeleryturnError(
         Kind.NOT_CONFIGURED,
         'no routes are known yet',
         retry_after_seconds=return_times.after_outage(
-            passed_seconds, tier.instance.random()
+            passed_seconds,
+            tier.instance.random(),
+            is_failing=progress.is_lost,
         ),
     )
 
--- a/models/check.py
+++ b/models/check.py
@@ -10,7 +10,7 @@
 
 from celeryturn.decisions import adoption as adoption_decisions
 from celeryturn.tables import table
-from models import adoption, booking, leaving, query
+from models import adoption, booking, forwarded, leaving, query
 from standins.topology import Shape, User, build_document
 
 MOST_STATES: Final = 2_000_000
@@ -56,6 +56,8 @@
         'booking': booking.build,
         'query': lambda: query.build(query_document()),
         'leaving': leaving.build,
+        'forwarded once': lambda: forwarded.build(forwarded.ONCE),
+        'forwarded to shards': lambda: forwarded.build(forwarded.GATHER),
     }
 )
 DEEP: Final[Mapping[str, Callable[[], Protocol]]] = MappingProxyType(
@@ -66,6 +68,12 @@
         'query, seven events': lambda: query.build(
             query_document(), most_events=DEEP_EVENTS
         ),
+        'forwarded once, seven events': lambda: forwarded.build(
+            forwarded.ONCE, most_events=DEEP_EVENTS
+        ),
+        'forwarded to shards, five events': lambda: forwarded.build(
+            forwarded.GATHER, most_events=forwarded.MOST_EVENTS + 1
+        ),
     }
 )
 MUTANTS: Final[Mapping[str, Callable[[], Protocol]]] = MappingProxyType(
@@ -104,6 +112,19 @@
                 may_get_work=leaving.work_for_anyone
             )
         ),
+        'forwarded again after a lost connection': lambda: forwarded.build(
+            forwarded.ONCE, forwarded.Rules(forwarded.lost_is_not_run)
+        ),
+        'forwarded by newer routes': lambda: forwarded.build(
+            forwarded.GATHER, forwarded.Rules(rereads_routes=True)
+        ),
+        'forwarded to draining targets': lambda: forwarded.build(
+            forwarded.GATHER,
+            forwarded.Rules(serving=forwarded.anyone_serving),
+        ),
+        'forwarded without counting': lambda: forwarded.build(
+            forwarded.GATHER, forwarded.Rules(spend=forwarded.spend_freely)
+        ),
     }
 )
 
--- a/tests/models.feature
+++ b/tests/models.feature
@@ -13,6 +13,8 @@
       | booking  |
       | query    |
       | leaving  |
+      | forwarded once      |
+      | forwarded to shards |
 
   Scenario Outline: A mutant is found out
     When the mutant "<mutant>" is searched
@@ -32,3 +34,7 @@
       | leaving without serving kept advice                | serves_kept_advice      |
       | leaving without finishing                          | cuts_nothing_off        |
       | draining target that gets work                     | nothing_new_to_draining |
+      | forwarded again after a lost connection            | runs_within_limit       |
+      | forwarded by newer routes                          | one_version             |
+      | forwarded to draining targets                      | nothing_new_to_draining |
+      | forwarded without counting                         | within_extra_load       |
