One client for the platform: own documents and instances are keys of its store

The older client of a configuration service and its stand-in are gone; celeryturnd, make run, the tests and the bench's scripts read services/ and instances/ by the published protocol (range, watch, 410) from the stand-in store, which can now be frozen and slow too.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -199,7 +199,7 @@
 
     :param scene: The fleet.
     """
-    url = f'/v1/keys/services/{scene.document["service"]}'
+    url = f'/v1/kv-key?Key=services/{scene.document["service"]}'
     body = msgspec.json.encode(scene.document)
     request = HttpRequest('PUT', url, body=body)
     await fetch(ADDRESS, scene.fleet.platform_port, request, CALL_SECONDS)
--- a/celeryturn/platform/service.py
+++ b/celeryturn/platform/service.py
@@ -1,35 +1,20 @@
-"""What is asked of the platform, as docs/CONFIGURATION.md states."""
+"""The product's own keys in the platform's store.
 
-from typing import Any, Final, NamedTuple, TypedDict, TypeVar
+docs/CONFIGURATION.md states them: a document a service, an entry an instance.
+"""
+
+from typing import Final, NamedTuple, TypedDict
 
 import msgspec
 
 from celeryturn.decisions.membership import Member, Status
-from celeryturn.http.client import fetch
-from celeryturn.http.messages import HttpReply, HttpRequest
-from celeryturn.settings import Endpoint
-
-AnswerT = TypeVar('AnswerT')
-
-KEY_PREFIX: Final = 'services/'
-CALL_SECONDS: Final = 2.0
-OK: Final = 200
-
-
-class PlatformError(ConnectionError):
-    """The platform does not answer, or not as it should."""
-
-
-class Keys(TypedDict):
-    """Every key with the revision of its last change."""
+from celeryturn.platform.store import Changes, StoreError
 
-    revision: int
-    keys: dict[str, int]
+SERVICES_PREFIX: Final = 'services/'
+INSTANCES_PREFIX: Final = 'instances/'
 
 
-class ListedInstance(TypedDict):
-    """One entry of the list of instances."""
-
+class _ListedInstance(TypedDict):
     instance: str
     address: str
     callers_port: int
@@ -38,14 +23,11 @@
     state: str
 
 
-class InstanceList(TypedDict):
-    """The list of live and leaving instances."""
-
-    instances: list[ListedInstance]
+_decoder: Final = msgspec.json.Decoder(_ListedInstance)
 
 
 class Listing(NamedTuple):
-    """The list as members, and how many it counts.
+    """The list as members, and which of them are about to end.
 
     :param members: Entries that say nothing against direct knowledge.
     :param leaving: Names of instances the list calls leaving.
@@ -55,54 +37,36 @@
     leaving: tuple[str, ...]
 
 
-async def watch(
-    endpoint: Endpoint, after_revision: int, wait_seconds: float
-) -> Keys:
-    """Wait for a change of any key.
-
-    :param endpoint: The configuration service.
-    :param after_revision: Answer once the revision is above this one.
-    :param wait_seconds: Longest wait at the service.
-    :returns: All keys, changed or not.
-    :raises OSError: When there is no usable answer.
-    """
-    url = f'/v1/watch?after={after_revision}&wait_seconds={wait_seconds}'
-    reply = await _get(endpoint, url, wait_seconds + CALL_SECONDS)
-    return _decode(reply, Keys)
-
-
-async def read_key(endpoint: Endpoint, key: str) -> bytes:
-    """Read the value of a key.
+def decode_listing(listed: Changes) -> Listing:
+    """Decode the list of instances.
 
-    :param endpoint: The configuration service.
-    :param key: Its name.
-    :returns: The value.
-    :raises OSError: When there is no usable answer.
-    """
-    reply = await _get(endpoint, f'/v1/keys/{key}', CALL_SECONDS)
-    return reply.body
-
-
-async def list_instances(endpoint: Endpoint) -> Listing:
-    """Read the list of instances.
-
-    :param endpoint: The list.
+    :param listed: All of its keys.
     :returns: Its entries.
-    :raises OSError: When there is no usable answer.
+    :raises StoreError: When an entry is not understood.
     """
-    reply = await _get(endpoint, '/v1/instances', CALL_SECONDS)
-    listed = _decode(reply, InstanceList)['instances']
+    entries = [
+        _decode(change.body)
+        for change in listed.changes
+        if change.body is not None
+    ]
     return Listing(
-        members=tuple(_member(entry) for entry in listed),
+        members=tuple(map(_member, entries)),
         leaving=tuple(
             entry['instance']
-            for entry in listed
+            for entry in entries
             if entry['state'] == Status.LEAVING
         ),
     )
 
 
-def _member(entry: ListedInstance) -> Member:
+def _decode(body: bytes) -> _ListedInstance:
+    try:
+        return _decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise StoreError(f'not understood: {error}') from error
+
+
+def _member(entry: _ListedInstance) -> Member:
     return Member(
         instance=entry['instance'],
         address=entry['address'],
@@ -110,24 +74,3 @@
         peers_port=entry['peers_port'],
         availability_zone=entry['availability_zone'],
     )
-
-
-async def _get(
-    endpoint: Endpoint, url: str, timeout_seconds: float
-) -> HttpReply:
-    request = HttpRequest('GET', url)
-    reply = await fetch(
-        endpoint.address, endpoint.port, request, timeout_seconds
-    )
-    if reply.status != OK:
-        raise PlatformError(f'{url}: status {reply.status}')
-    return reply
-
-
-def _decode(reply: HttpReply, shape: type[AnswerT]) -> AnswerT:
-    try:
-        decoded: Any = msgspec.json.decode(reply.body, type=shape)
-    except msgspec.DecodeError as error:
-        raise PlatformError(f'not understood: {error}') from error
-    answer: AnswerT = decoded
-    return answer
--- a/celeryturn/platform/watcher.py
+++ b/celeryturn/platform/watcher.py
@@ -12,25 +12,17 @@
     log,
 )
 from celeryturn.instance import Instance, log_members, offer_document
-from celeryturn.platform import service
+from celeryturn.platform.service import (
+    INSTANCES_PREFIX,
+    SERVICES_PREFIX,
+    decode_listing,
+)
+from celeryturn.platform.store import Changes, HistoryGoneError, StoreClient
 
 FIRST_BACKOFF_SECONDS: Final = 0.2
 MOST_BACKOFF_SECONDS: Final = 1.0
 BACKOFF_FACTOR: Final = 2.0
-
-
-class WatchProgress:
-    """How far one watch has read.
-
-    :param revision: Revision whose keys were all read.
-    :param revisions: Revision at which each key was read.
-    """
-
-    __slots__ = ('revision', 'revisions')
-
-    def __init__(self) -> None:
-        self.revision = 0
-        self.revisions: dict[str, int] = {}
+CALL_SECONDS: Final = 2.0
 
 
 async def watch_configuration(instance: Instance) -> None:
@@ -38,11 +30,14 @@
 
     :param instance: The instance.
     """
-    progress = WatchProgress()
+    client = StoreClient(instance.settings.configuration)
+    revision = 0
     backoff_seconds = FIRST_BACKOFF_SECONDS
     while not instance.is_closing:
         try:
-            await _watch_once(instance, progress)
+            revision = await _watch_once(instance, client, revision)
+        except HistoryGoneError:
+            revision = 0
         except OSError as error:
             log(CONFIGURATION_LOST, detail=str(error))
             await asyncio.sleep(backoff_seconds * (1 + instance.random()))
@@ -58,24 +53,20 @@
 
     :param instance: The instance.
     """
+    client = StoreClient(instance.settings.instances)
     every_seconds = instance.settings.timing.list_every_seconds
     members = instance.membership.members
     while not instance.is_closing:
         try:
-            await read_list(instance)
+            await _read_list(instance, client)
         except OSError as error:
             log(LIST_LOST, detail=str(error))
         wait_seconds = membership.list_wait_seconds(every_seconds, len(members))
         await asyncio.sleep(wait_seconds * (1 + instance.random()) / 2)
 
 
-async def read_list(instance: Instance) -> None:
-    """Read the list once and take it in.
-
-    :param instance: The instance.
-    :raises OSError: When it cannot be read.
-    """
-    listing = await service.list_instances(instance.settings.instances)
+async def _read_list(instance: Instance, client: StoreClient) -> None:
+    listing = decode_listing(await client.read(INSTANCES_PREFIX, CALL_SECONDS))
     changed = membership.take_in(
         instance.membership, listing.members, instance.clock()
     )
@@ -98,32 +89,31 @@
         fleet.set_shares(known, count)
 
 
-async def _watch_once(instance: Instance, progress: WatchProgress) -> None:
+async def _watch_once(
+    instance: Instance, client: StoreClient, revision: int
+) -> int:
     asked_seconds = instance.clock()
-    keys = await service.watch(
-        instance.settings.configuration,
-        progress.revision,
-        instance.settings.timing.watch_wait_seconds,
-    )
+    changes = await _changes(instance, client, revision)
     highest = instance.freshness.highest_revision
-    if keys['revision'] < highest:
-        log(CONFIGURATION_STALE, revision=keys['revision'], highest=highest)
+    if changes.revision < highest:
+        log(CONFIGURATION_STALE, revision=changes.revision, highest=highest)
         await asyncio.sleep(FIRST_BACKOFF_SECONDS * (1 + instance.random()))
-        return
-    await _read_changed(instance, progress, keys)
-    progress.revision = keys['revision']
+        return revision
+    for change in changes.changes:
+        if change.body is not None:
+            offer_document(instance, change.body, 'service')
     instance.freshness = confirm(
-        instance.freshness, asked_seconds, keys['revision']
+        instance.freshness, asked_seconds, changes.revision
     )
+    return changes.revision
 
 
-async def _read_changed(
-    instance: Instance, progress: WatchProgress, keys: service.Keys
-) -> None:
-    endpoint = instance.settings.configuration
-    for key, revision in keys['keys'].items():
-        is_new = revision > progress.revisions.get(key, 0)
-        if is_new and key.startswith(service.KEY_PREFIX):
-            body = await service.read_key(endpoint, key)
-            offer_document(instance, body, 'service')
-            progress.revisions[key] = revision
+async def _changes(
+    instance: Instance, client: StoreClient, revision: int
+) -> Changes:
+    if not revision:
+        return await client.read(SERVICES_PREFIX, CALL_SECONDS)
+    wait_seconds = instance.settings.timing.watch_wait_seconds
+    return await client.watch(
+        SERVICES_PREFIX, revision, wait_seconds, CALL_SECONDS
+    )
--- a/standins/serve.py
+++ b/standins/serve.py
@@ -9,7 +9,7 @@
 import yaml
 
 from celeryturn.words import call
-from standins.platform import PlatformStandin
+from standins.store import StoreStandin
 from standins.target import Dataset, Place, TargetStandin
 from standins.topology import USERS, build_records, zone_address
 
@@ -18,9 +18,9 @@
 
 
 def platform(port: int, documents: str, instances: str) -> None:
-    """Serve the configuration service and the list of instances.
+    """Serve the platform's store with the product's own keys.
 
-    :param port: Port for both.
+    :param port: Its port.
     :param documents: YAML file with a list of documents.
     :param instances: YAML file with the list of instances.
     """
@@ -38,11 +38,13 @@
 
 
 async def _platform(port: int, documents: Path, instances: Path) -> None:
-    standin = PlatformStandin()
+    standin = StoreStandin()
     for document in yaml.safe_load(documents.read_text()):
         key = f'services/{document["service"]}'
-        standin.publish(key, msgspec.json.encode(document))
-    standin.instances = yaml.safe_load(instances.read_text())
+        standin.put(key, msgspec.json.encode(document))
+    for entry in yaml.safe_load(instances.read_text()):
+        key = f'instances/{entry["instance"]}'
+        standin.put(key, msgspec.json.encode(entry))
     await standin.server.start(ADDRESS, port)
     await _until_signal()
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -14,7 +14,7 @@
     json_reply,
     split_url,
 )
-from celeryturn.http.server import HttpServer
+from celeryturn.http.server import HttpServer, Limits
 
 OK: Final = 200
 NOT_FOUND: Final = 404
@@ -23,6 +23,7 @@
 UNAVAILABLE: Final = 503
 MILLISECONDS: Final = 1000
 PAGE_ITEMS: Final = 3
+MOST_VALUE_BYTES: Final = 1_000_000
 
 
 class Mode(enum.StrEnum):
@@ -46,6 +47,7 @@
     :param revision: Revision of the last change.
     :param call_count: Calls so far.
     :param page_items: Items on a page of a range.
+    :param delay_seconds: How long every call takes: a slow store.
     """
 
     def __init__(self) -> None:
@@ -53,8 +55,12 @@
         self.revision = 1
         self.call_count = 0
         self.page_items = PAGE_ITEMS
-        self.server = HttpServer(self._answer, refusal_reply)
+        self.delay_seconds = 0.0
+        self.server = HttpServer(
+            self._answer, refusal_reply, Limits(body_bytes=MOST_VALUE_BYTES)
+        )
         self._values: dict[str, tuple[bytes, int]] = {}
+        self._stale: tuple[dict[str, tuple[bytes, int]], int] | None = None
         self._events: list[tuple[int, str, bytes | None]] = []
         self._first_revision = 0
         self._changed = asyncio.Event()
@@ -83,6 +89,14 @@
         self._events.clear()
         self._first_revision = self.revision
 
+    def freeze(self) -> None:
+        """Show readers the present from now on, whatever changes."""
+        self._stale = (dict(self._values), self.revision)
+
+    def thaw(self) -> None:
+        """Show readers the present again."""
+        self._stale = None
+
     def _note(self, key: str, value: bytes | None) -> None:
         self._events.append((self.revision, key, value))
         self._changed.set()
@@ -90,6 +104,9 @@
 
     async def _answer(self, request: HttpRequest) -> HttpReply:
         self.call_count += 1
+        if request.method == 'POST':
+            return self._control(request.body)
+        await asyncio.sleep(self.delay_seconds)
         if self.mode is Mode.SILENT:
             await asyncio.Event().wait()
         refusal = _REFUSALS.get(self.mode)
@@ -101,29 +118,43 @@
         if path == '/v1/kv-watch':
             return await self._watch(query)
         if path == '/v1/kv-key':
-            return self._key(query)
+            return self._key(request, query)
         return json_reply(NOT_FOUND, {})
 
-    def _key(self, query: dict[str, str]) -> HttpReply:
+    def _control(self, word: bytes) -> HttpReply:
+        # For scripts, which cannot call this object.
+        self.mode = Mode.BUSY if word == b'down' else Mode.SERVING
+        if word == b'freeze':
+            self.freeze()
+        elif word == b'thaw':
+            self.thaw()
+        return json_reply(OK, {})
+
+    def _key(self, request: HttpRequest, query: dict[str, str]) -> HttpReply:
         key = query.get('Key', '')
-        if key not in self._values:
+        if request.method == 'PUT':
+            self.put(key, request.body)
+        values, revision = self._shown()
+        if key not in values:
             return json_reply(NOT_FOUND, {})
-        item = {**self._item(key), 'CurrentRev': self.revision}
+        item = {**_item(key, *values[key]), 'CurrentRev': revision}
         return json_reply(OK, item)
 
+    def _shown(self) -> tuple[dict[str, tuple[bytes, int]], int]:
+        return self._stale or (self._values, self.revision)
+
     def _range(self, query: dict[str, str]) -> HttpReply:
         prefix = query.get('Prefix', '')
         after = query.get('after', '')
+        values, revision = self._shown()
         keys = sorted(
-            key
-            for key in self._values
-            if key.startswith(prefix) and key > after
+            key for key in values if key.startswith(prefix) and key > after
         )
         page = keys[: self.page_items]
         body = {
-            'items': [self._item(key) for key in page],
+            'items': [_item(key, *values[key]) for key in page],
             'HasMore': len(keys) > len(page),
-            'CurrentRev': self.revision,
+            'CurrentRev': revision,
         }
         return json_reply(OK, body)
 
@@ -138,19 +169,21 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(changed.wait(), wait_seconds)
             events = self._later(after, query)
-        return json_reply(OK, {'events': events, 'CurrentRev': self.revision})
+        _, revision = self._shown()
+        return json_reply(OK, {'events': events, 'CurrentRev': revision})
 
     def _later(self, after: int, query: dict[str, str]) -> list[dict[str, Any]]:
         prefix = query.get('Prefix', '')
+        _, shown_revision = self._shown()
         return [
             _event(revision, key, value)
             for revision, key, value in self._events
-            if revision > after and key.startswith(prefix)
+            if after < revision <= shown_revision and key.startswith(prefix)
         ]
 
-    def _item(self, key: str) -> dict[str, Any]:
-        value, revision = self._values[key]
-        return {**_event(revision, key, value), 'Created': revision, 'Lease': 0}
+
+def _item(key: str, value: bytes, revision: int) -> dict[str, Any]:
+    return {**_event(revision, key, value), 'Created': revision, 'Lease': 0}
 
 
 def _event(revision: int, key: str, value: bytes | None) -> dict[str, Any]:
--- a/tests/steps/system.py
+++ b/tests/steps/system.py
@@ -10,6 +10,7 @@
 from celeryturn.instance import versions_of
 from celeryturn.settings import Endpoint
 from examples.fleet import free_ports
+from standins.store import Mode
 from tests.support.documents import raw_document
 from tests.support.world import ADDRESS, until
 
@@ -52,7 +53,7 @@
 @given('the configuration service is down')
 def take_down(context: Context) -> None:
     """Let every call to the platform fail."""
-    context.world.platform.is_down = True
+    context.world.platform.mode = Mode.BUSY
 
 
 @given('the configuration service takes {seconds:g} seconds')
@@ -296,7 +297,7 @@
     good = world.documents[service]
     context.marks = {'log': len(context.log.getvalue())}
     if fault == 'no JSON':
-        world.platform.publish(f'services/{service}', b'{"service": ')
+        world.platform.put(f'services/{service}', b'{"service": ')
         return
     shards = dict(good['indexes'][0]['shards'])
     gap = {**shards, 's00': {**shards['s00'], 'last_hash': 5}}
@@ -321,7 +322,7 @@
         },
     }
     body = msgspec.json.encode({**good, **changes[fault]})
-    world.platform.publish(f'services/{service}', body)
+    world.platform.put(f'services/{service}', body)
 
 
 @when('the instances serve version {version:d} of "{service}"')
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -12,7 +12,7 @@
 from celeryturn.http.messages import HttpReply, HttpRequest
 from celeryturn.settings import Settings, parse_settings
 from examples.fleet import free_ports
-from standins.platform import PlatformStandin
+from standins.store import StoreStandin
 from standins.target import Dataset, TargetStandin
 from standins.topology import build_records
 from tests.support.documents import ZONES, raw_document
@@ -34,7 +34,7 @@
     """
 
     def __init__(self) -> None:
-        self.platform: PlatformStandin | None = None
+        self.platform: StoreStandin | None = None
         self.targets: dict[str, TargetStandin] = {}
         self.documents: dict[str, dict[str, Any]] = {}
         self.datasets: dict[str, Dataset] = {}
@@ -43,9 +43,9 @@
         self.answers: list[HttpReply] = []
         self.tasks: list[asyncio.Task[HttpReply]] = []
 
-    async def start_platform(self) -> PlatformStandin:
-        """Start the configuration service and the list of instances."""
-        self.platform = PlatformStandin()
+    async def start_platform(self) -> StoreStandin:
+        """Start the platform's store."""
+        self.platform = StoreStandin()
         await self.platform.server.start(ADDRESS, 0)
         return self.platform
 
@@ -69,7 +69,7 @@
         """Publish a document, as operators do."""
         assert self.platform is not None
         self.documents[raw['service']] = raw
-        self.platform.publish(
+        self.platform.put(
             f'services/{raw["service"]}', msgspec.json.encode(raw)
         )
 
@@ -87,7 +87,9 @@
             self.settings(name, next(ports), next(ports), timing)
             for name in names
         ]
-        self.platform.instances.extend(map(_listed, all_settings))
+        for listed in map(_listed, all_settings):
+            key = f'instances/{listed["instance"]}'
+            self.platform.put(key, msgspec.json.encode(listed))
         return [await self.start(settings) for settings in all_settings]
 
     async def start(self, settings: Settings) -> Application:
