What hedges leave of the extra load is a share of what may be saved up

Cause: one extra request was to be left, whatever the size of a bucket. On nine instances a full bucket leaves as much as before.

--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -172,14 +172,16 @@
         now_seconds = self.world.clock.now_seconds
         extra_load.earn(self.budget(service), self._part, now_seconds)
 
-    def spend(self, service: str, reserve: float) -> bool:
+    def spend(self, service: str, reserve_share: float) -> bool:
         """Take from the extra load.
 
         :param service: Name of the service.
-        :param reserve: What must be left.
+        :param reserve_share: Share of what may be saved up that must be left.
         :returns: Whether an extra request may be sent.
         """
-        is_allowed = self.world.policy.spend(self.budget(service), reserve)
+        budget = self.budget(service)
+        reserve = reserve_share * extra_load.capacity(budget, self._part)
+        is_allowed = self.world.policy.spend(budget, reserve)
         if is_allowed:
             self.world.on_extra(service)
         return is_allowed
--- a/celeryturn/decisions/extra_load.py
+++ b/celeryturn/decisions/extra_load.py
@@ -81,7 +81,7 @@
     budget.recent_count = budget.recent_count * faded + 1
     budget.counted_seconds = now_seconds
     earned = budget.tokens + EARNED_RATIO_SHARE * bounds.ratio
-    budget.tokens = min(_capacity(budget, part), earned)
+    budget.tokens = min(capacity(budget, part), earned)
 
 
 def is_short(budget: ExtraLoad, part: Part) -> bool:
@@ -91,7 +91,7 @@
     :param part: What it may send.
     :returns: Whether little is left of what may be saved up.
     """
-    return budget.tokens < SHORT_SHARE * _capacity(budget, part)
+    return budget.tokens < SHORT_SHARE * capacity(budget, part)
 
 
 def spend(budget: ExtraLoad, reserve: float = 0) -> bool:
@@ -108,6 +108,12 @@
     return True
 
 
-def _capacity(budget: ExtraLoad, part: Part) -> float:
+def capacity(budget: ExtraLoad, part: Part) -> float:
+    """Work out how many extra requests may be saved up.
+
+    :param budget: The instance's bucket.
+    :param part: What it may send.
+    :returns: More where more is needed.
+    """
     ratio = part.bounds.ratio
     return start_count(part) + SAVED_RATIO_SHARE * ratio * budget.recent_count
--- a/celeryturn/decisions/legs.py
+++ b/celeryturn/decisions/legs.py
@@ -175,7 +175,8 @@
     :param hedge_after_seconds: Silence after which another target is asked.
     :param zone: Availability zone of this instance.
     :param random: A number between 0 and 1.
-    :param spend: Takes from the extra load of a service, leaving a reserve.
+    :param spend: Takes from the extra load of a service, leaving a share of
+        what may be saved up.
     :param is_short: Tells whether little of it is left.
     """
 
--- a/celeryturn/decisions/sharded.py
+++ b/celeryturn/decisions/sharded.py
@@ -23,7 +23,7 @@
 from celeryturn.decisions.replies import NOT_RUN, TargetReply, Verdict
 
 MOST_SENDS: Final = 4
-HEDGE_RESERVE: Final = 1.0
+HEDGE_RESERVE_SHARE: Final = 0.1
 HEDGE_AGAIN_SECONDS: Final = 0.02
 
 
@@ -174,7 +174,7 @@
     leg = request.legs[position]
     replica = _choose(request, position, view)
     service = request.plan.services[position]
-    if replica is not None and view.spend(service, HEDGE_RESERVE):
+    if replica is not None and view.spend(service, HEDGE_RESERVE_SHARE):
         leg.lacking = None
         return [_send(request, position, replica, view)]
     leg.lacking = Lacking.EXTRA_LOAD if replica else Lacking.TARGET
--- a/celeryturn/forwarding/runner.py
+++ b/celeryturn/forwarding/runner.py
@@ -267,7 +267,7 @@
             hedge_after_seconds=self._hedge_after_seconds(usual),
             zone=tier.instance.settings.availability_zone,
             random=tier.instance.random,
-            spend=lambda name, reserve: tiers.spend(tier, name, reserve),
+            spend=lambda name, share: tiers.spend(tier, name, share),
             is_short=lambda name: tiers.is_short(tier, name),
         )
 
--- a/celeryturn/forwarding/tier.py
+++ b/celeryturn/forwarding/tier.py
@@ -187,15 +187,17 @@
     extra_load.earn(budget_of(tier, service), part_of(tier), now())
 
 
-def spend(tier: Tier, service: str, reserve: float) -> bool:
+def spend(tier: Tier, service: str, reserve_share: float) -> bool:
     """Take from the budget of a service for an extra request.
 
     :param tier: The tier.
     :param service: Name of the service.
-    :param reserve: Extra requests that must be left after it.
+    :param reserve_share: Share of what may be saved up that must be left.
     :returns: Whether it may be sent.
     """
-    return extra_load.spend(budget_of(tier, service), reserve)
+    budget = budget_of(tier, service)
+    reserve = reserve_share * extra_load.capacity(budget, part_of(tier))
+    return extra_load.spend(budget, reserve)
 
 
 def is_short(tier: Tier, service: str) -> bool:
--- a/models/forwarded.py
+++ b/models/forwarded.py
@@ -195,7 +195,7 @@
             hedge_after_seconds=USUAL.slow_seconds,
             zone='zone',
             random=lambda: 0.5,
-            spend=lambda _, reserve: self.rules.spend(self.budget, reserve),
+            spend=lambda _, share: self.rules.spend(self.budget, share),
             is_short=lambda _: False,
         )
 
--- a/tests/decisions/sharded.feature
+++ b/tests/decisions/sharded.feature
@@ -85,6 +85,15 @@
     And the attempts 3 succeed
     Then it is finished with 1 parts
 
+  Scenario Outline: However many instances share it, each can ask a second target
+    Then one of <count> instances with <requests> requests in 10 s may hedge, and keeps something for repeats
+
+    Examples:
+      | count | requests |
+      | 9     | 100      |
+      | 74    | 11       |
+      | 480   | 20       |
+
   Scenario: Without extra load left a failed attempt is not repeated
     Given an idempotent request to 1 shards of 3 targets, of which 1 must reply
     And no extra load is left
--- a/tests/steps/sharded.py
+++ b/tests/steps/sharded.py
@@ -203,6 +203,25 @@
     _expect_bound(spent, needed, BOUNDS.ratio, BOUNDS.slack_count)
 
 
+@then(
+    'one of {count:d} instances with {requests:d} requests in 10 s may hedge,'
+    ' and keeps something for repeats'
+)
+def expect_hedges(context: Context, count: int, requests: int) -> None:
+    """Expect that a full bucket allows a hedge, and not the last token."""
+    part = extra_load.Part(BOUNDS, count)
+    budget = extra_load.ExtraLoad(part)
+    for number in range(requests):
+        now_seconds = START_SECONDS + number * WINDOW_SECONDS / requests
+        extra_load.earn(budget, part, now_seconds)
+    most = extra_load.capacity(budget, part)
+    reserve = sharded.HEDGE_RESERVE_SHARE * most
+    assert reserve > 0
+    assert extra_load.spend(budget, reserve), (budget.tokens, most)
+    budget.tokens = 1.0
+    assert not extra_load.spend(budget, reserve)
+
+
 def _plan(
     context: Context,
     shards: int,
