Loops of celeryturnd go on after a fault of the program; clients follow settings

Cause: keep_running served the routed daemon only; a loop of celeryturnd ended at a fault, and the instance went on by what it knew.

--- a/celeryturn/app.py
+++ b/celeryturn/app.py
@@ -3,15 +3,13 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import Coroutine
-from typing import Any, Final
+from typing import Final
 
 from celeryturn.decisions import membership
 from celeryturn.decisions.document import Published
 from celeryturn.entry.routes import Entry, answer_request, refuse
 from celeryturn.errors import CeleryturnError, Fault, Kind
 from celeryturn.events import (
-    INTERNAL_FAULT,
     LEAVING,
     READY,
     STARTED,
@@ -20,6 +18,7 @@
 )
 from celeryturn.http.server import HttpServer
 from celeryturn.instance import Instance, versions_of
+from celeryturn.loops import begin
 from celeryturn.peers import network as peers
 from celeryturn.platform import watcher
 from celeryturn.settings import Settings
@@ -78,13 +77,14 @@
             )
         settings = self.instance.settings
         log(STARTED, instance=settings.instance, port=settings.callers.port)
-        self._begin(
-            watcher.watch_list(self.instance),
-            watcher.watch_configuration(self.instance),
-            peers.gossip(self.network),
-            watch_returns(self.instance),
-            self._become_ready(),
+        loops = (
+            lambda: watcher.watch_list(self.instance),
+            lambda: watcher.watch_configuration(self.instance),
+            lambda: peers.gossip(self.network),
+            lambda: watch_returns(self.instance),
+            self._become_ready,
         )
+        self._loops.extend(map(begin, loops))
 
     def drain(self) -> None:
         """Begin a graceful shutdown; :meth:`run` carries it out."""
@@ -128,13 +128,6 @@
         document = adopted.document
         prune_links(self.links, document.service, document.targets)
 
-    def _begin(self, *coroutines: Coroutine[Any, Any, None]) -> None:
-        loop = asyncio.get_running_loop()
-        for coroutine in coroutines:
-            task = loop.create_task(coroutine)
-            task.add_done_callback(_report_fault)
-            self._loops.append(task)
-
     async def _listen(self) -> Fault | None:
         endpoint = self.instance.settings.callers
         try:
@@ -166,8 +159,3 @@
             instance=instance.settings.instance,
             versions=versions_of(instance),
         )
-
-
-def _report_fault(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        log(INTERNAL_FAULT, detail=repr(task.exception()))
--- a/celeryturn/forwarding/app.py
+++ b/celeryturn/forwarding/app.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Coroutine
-from typing import Any, Final, TypeAlias
+from typing import Final
 
 from celeryturn.decisions import membership
 from celeryturn.decisions.route_table import RouteTable
 from celeryturn.errors import CeleryturnError, Fault, Kind
 from celeryturn.events import (
-    INTERNAL_FAULT,
     LEAVING,
     READY,
     STARTED,
@@ -31,6 +29,7 @@
 from celeryturn.forwarding.settings import ForwardingSettings
 from celeryturn.http.server import HttpServer
 from celeryturn.instance import Instance, Routes
+from celeryturn.loops import Loop, begin
 from celeryturn.peers import network as peers
 from celeryturn.settings import Endpoint
 
@@ -38,15 +37,12 @@
 READY_CHECK_SECONDS: Final = 0.02
 FIRST_PEER_SECONDS: Final = 1.0
 FLUSH_SECONDS: Final = 0.2
-AGAIN_SECONDS: Final = 0.5
 # Parts of the grace of a shutdown: until new requests are refused, until
 # the port is closed, and until what still runs is answered.
 REFUSE_SHARE: Final = 0.48
 CLOSE_SHARE: Final = 0.82
 STOP_SHARE: Final = 0.9
 
-Loop: TypeAlias = Callable[[], Coroutine[Any, Any, None]]
-
 
 class ForwardingApplication:
     """One daemon that serves published routes.
@@ -183,7 +179,7 @@
         limits.idle_seconds = table.limits.idle_seconds
 
     def _begin(self, loop: Loop) -> asyncio.Task[None]:
-        task = asyncio.get_running_loop().create_task(keep_running(loop))
+        task = begin(loop)
         self._loops.append(task)
         return task
 
@@ -229,19 +225,3 @@
 
 async def _sleep_until(at_seconds: float) -> None:
     await asyncio.sleep(max(0.0, at_seconds - tiers.now()))
-
-
-async def keep_running(loop: Loop) -> None:
-    """Run a loop, and again after a fault of this program in it.
-
-    An instance that no longer followed the store would serve on, and by what
-    it knew.
-
-    :param loop: Makes the loop; it ends by itself or is cancelled.
-    """
-    while True:
-        try:
-            return await loop()
-        except Exception as fault:
-            log(INTERNAL_FAULT, detail=repr(fault))
-        await asyncio.sleep(AGAIN_SECONDS)
--- a/celeryturn/platform/watcher.py
+++ b/celeryturn/platform/watcher.py
@@ -18,6 +18,7 @@
     decode_listing,
 )
 from celeryturn.platform.store import Changes, HistoryGoneError, StoreClient
+from celeryturn.settings import Endpoint
 
 FIRST_BACKOFF_SECONDS: Final = 0.2
 MOST_BACKOFF_SECONDS: Final = 1.0
@@ -34,6 +35,7 @@
     revision = 0
     backoff_seconds = FIRST_BACKOFF_SECONDS
     while not instance.is_closing:
+        client = _client_at(instance.settings.configuration, client)
         try:
             revision = await _watch_once(instance, client, revision)
         except HistoryGoneError:
@@ -57,6 +59,7 @@
     every_seconds = instance.settings.timing.list_every_seconds
     members = instance.membership.members
     while not instance.is_closing:
+        client = _client_at(instance.settings.instances, client)
         try:
             await _read_list(instance, client)
         except OSError as error:
@@ -65,6 +68,14 @@
         await asyncio.sleep(wait_seconds * (1 + instance.random()) / 2)
 
 
+def _client_at(endpoint: Endpoint, client: StoreClient) -> StoreClient:
+    # Settings may change while the loop runs.
+    if client.endpoint == endpoint:
+        return client
+    client.close()
+    return StoreClient(endpoint)
+
+
 async def _read_list(instance: Instance, client: StoreClient) -> None:
     listing = decode_listing(await client.read(INSTANCES_PREFIX, CALL_SECONDS))
     changed = membership.take_in(
