--- a/bench/model/policies.py
+++ b/bench/model/policies.py
@@ -35,6 +35,26 @@
     return float('inf')
 
 
+def as_soon_as_slow(usual: replicas.Usual, left_seconds: float) -> float:
+    """Hedge as soon as a reply is slower than usual.
+
+    :param usual: What is usual for the route.
+    :param left_seconds: Not looked at.
+    :returns: Seconds from the first attempt.
+    """
+    return usual.slow_seconds
+
+
+def leave_one(budget: extra_load.ExtraLoad, reserve: float) -> bool:
+    """Leave one extra request after a hedge, however few may be saved up.
+
+    :param budget: The instance's bucket.
+    :param reserve: Not looked at, but for whether something is to be left.
+    :returns: Whether an extra request may be sent.
+    """
+    return extra_load.spend(budget, 1.0 if reserve else 0.0)
+
+
 def never_short(budget: extra_load.ExtraLoad, part: extra_load.Part) -> bool:
     """Go by the same silence however little extra load is left.
 
@@ -65,5 +85,7 @@
         'without-hedges': CURRENT._replace(hedge_after_seconds=never),
         'without-zones': CURRENT._replace(prefers_zone=False),
         'patient': CURRENT._replace(is_short=never_short),
+        'early-hedges': CURRENT._replace(hedge_after_seconds=as_soon_as_slow),
+        'reserve-of-one': CURRENT._replace(spend=leave_one),
     }
 )
