--- a/celeryturn/app.py
+++ b/celeryturn/app.py
@@ -5,6 +5,7 @@
 import time
 from typing import Final
 
+from celeryturn import watcher
 from celeryturn.decisions import membership
 from celeryturn.decisions.document import Published
 from celeryturn.entry.routes import Entry, answer_request, refuse
@@ -20,7 +21,6 @@
 from celeryturn.instance import Instance, versions_of
 from celeryturn.loops import begin
 from celeryturn.peers import network as peers
-from celeryturn.platform import watcher
 from celeryturn.settings import Settings
 from celeryturn.targets.links import Links, close_links, prune_links
 from celeryturn.targets.returns import watch_returns
--- a/celeryturn/peers/network.py
+++ b/celeryturn/peers/network.py
@@ -21,8 +21,8 @@
 from celeryturn.peers import messages
 from celeryturn.peers.dialogue import reply_to, want_listed
 from celeryturn.peers.links import PeerLink, put, write_queue
-from celeryturn.platform.watcher import share_anew
 from celeryturn.settings import Endpoint
+from celeryturn.watcher import share_anew
 
 DIAL_SECONDS: Final = 2.0
 SEED_NAME: Final = 'seed'
--- a/tests/steps/loops.py
+++ b/tests/steps/loops.py
@@ -5,8 +5,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from celeryturn import watcher
 from celeryturn.loops import keep_running
-from celeryturn.platform import watcher
 from tests.support.world import until
 
 
