Models that play courses again share one search

The search by replay stood in models/query.py and, as a copy, in models/forwarded.py; models/replay.py holds it now.

--- a/models/forwarded.py
+++ b/models/forwarded.py
@@ -2,9 +2,7 @@
 
 A request goes to one service, or to two shards, of two or three targets each.
 Targets run it or not, reply, shed, or lose the connection; time passes, a
-target drains, the caller goes, and newer routes name other services.  A state
-is what can still matter; the shortest way to it is kept so that it can be
-reached again.
+target drains, the caller goes, and newer routes name other services.
 """
 
 from collections.abc import Callable, Iterator, Sequence
@@ -16,8 +14,8 @@
 from celeryturn.decisions.directory import Directory
 from celeryturn.decisions.replicas import Replica, TargetEntry, Usual
 from celeryturn.decisions.replies import TargetReply, Verdict
+from models.replay import Event, Way, search_by_replay
 
-Event: TypeAlias = tuple[str, int]
 Serving: TypeAlias = Callable[[Directory, str], Sequence[Replica]]
 Spend: TypeAlias = Callable[[extra_load.ExtraLoad, float], bool]
 OnReply: TypeAlias = Callable[
@@ -216,29 +214,19 @@
     :returns: The model.
     """
     decisions = rules or Rules()
-    ways: dict[tuple[object, ...], tuple[Event, ...]] = {}
-    initial = _state_of(Course(shape, decisions), 0)
-    ways[initial] = ()
-
-    def steps(raw: tuple[object, ...]) -> list[tuple[str, tuple[object, ...]]]:
-        way = ways[raw]
-        if len(way) >= most_events:
-            return []
-        found = []
-        for event in _events(_replay(shape, decisions, way)):
-            played = _replay(shape, decisions, (*way, event))
-            after = _state_of(played, len(way) + 1)
-            ways.setdefault(after, (*way, event))
-            found.append((f'{event[0]} {event[1]}', after))
-        return found
-
+    search = search_by_replay(
+        lambda way: _replay(shape, decisions, way),
+        _events,
+        _state_of,
+        most_events,
+    )
     most_runs = len(shape.services) * 2 if shape.is_idempotent else 1
     return Protocol(
         name='forwarded',
         candidate=False,
         fields=Known._fields,
-        initial=initial,
-        transitions=steps,
+        initial=search.initial,
+        transitions=search.steps,
         invariants={
             'runs_within_limit': lambda known: known['run_count'] <= most_runs,
             'not_run_was_not_run': lambda known: not known['denied_run'],
@@ -306,7 +294,7 @@
     )
 
 
-def _replay(shape: Shape, rules: Rules, way: tuple[Event, ...]) -> Course:
+def _replay(shape: Shape, rules: Rules, way: Way) -> Course:
     played = Course(shape, rules)
     for event in way:
         played.play(event)
--- a/models/query.py
+++ b/models/query.py
@@ -2,8 +2,7 @@
 
 Two shards of two replicas.  Replies of the pinned and of another snapshot,
 losses, refusals for the snapshot, late replies and the passing of time come in
-every order.  A state is what can still matter; the shortest way to it is kept
-so that it can be reached again.
+every order.
 """
 
 from collections.abc import Callable, Iterator
@@ -22,8 +21,8 @@
     plan_query,
 )
 from celeryturn.decisions.views import Report, observe_report
+from models.replay import Event, Way, search_by_replay
 
-Event: TypeAlias = tuple[str, int]
 OnReply: TypeAlias = Callable[
     [course.QueryState, int, Reply, course.Context], course.Actions
 ]
@@ -121,29 +120,18 @@
     :param most_events: Longest course that is followed.
     :returns: The model.
     """
-    start = Course(document)
-    ways: dict[tuple[object, ...], tuple[Event, ...]] = {}
-    initial = _state_of(start, 0)
-    ways[initial] = ()
-
-    def steps(raw: tuple[object, ...]) -> list[tuple[str, tuple[object, ...]]]:
-        way = ways[raw]
-        if len(way) >= most_events:
-            return []
-        found = []
-        for event in _events(_replay(document, way, on_reply)):
-            played = _replay(document, (*way, event), on_reply)
-            after = _state_of(played, len(way) + 1)
-            ways.setdefault(after, (*way, event))
-            found.append((f'{event[0]} {event[1]}', after))
-        return found
-
+    search = search_by_replay(
+        lambda way: _replay(document, way, on_reply),
+        _events,
+        _state_of,
+        most_events,
+    )
     return Protocol(
         name='query',
         candidate=False,
         fields=FIELDS,
-        initial=initial,
-        transitions=steps,
+        initial=search.initial,
+        transitions=search.steps,
         invariants={
             'one_snapshot': lambda known: not known['mixed'],
             'true_coverage': lambda known: not known['false_coverage'],
@@ -176,9 +164,7 @@
     return query.on_reply(state, number, reply, context)
 
 
-def _replay(
-    document: bytes, way: tuple[Event, ...], on_reply: OnReply
-) -> Course:
+def _replay(document: bytes, way: Way, on_reply: OnReply) -> Course:
     played = Course(document)
     for event in way:
         played.play(event, on_reply)
