--- a/bench/model/days.py
+++ b/bench/model/days.py
@@ -179,7 +179,10 @@
 def _make_arrival(
     instance: ModelInstance, kind: RequestKind, request_number: int
 ) -> Callable[[], None]:
-    return lambda: instance.start_request(kind, request_number)
+    def start() -> None:
+        instance.start_request(kind, request_number)
+
+    return start
 
 
 def _calm(
--- a/bench/model/instances.py
+++ b/bench/model/instances.py
@@ -127,13 +127,18 @@
             for target in targets
         }
 
-    def start_request(self, kind: RequestKind, request_number: int) -> None:
+    def start_request(
+        self, kind: RequestKind, request_number: int
+    ) -> 'ModelRequest':
         """Start to process a request.
 
         :param kind: Kind of the request.
         :param request_number: Number of the request.
+        :returns: The request in flight.
         """
-        _ModelRequest(self, kind, request_number).start()
+        request = ModelRequest(self, kind, request_number)
+        request.start()
+        return request
 
     def serving_replicas(self, service: str) -> Sequence[replicas.Replica]:
         """List the targets that can receive work.
@@ -244,7 +249,7 @@
         return replicas.Replica(entry, 0)
 
 
-class _ModelRequest:
+class ModelRequest:
     """One request that is in flight at an instance."""
 
     def __init__(
@@ -276,6 +281,10 @@
             self._instance.earn(service)
         self._apply(sharded.begin(self._state, self._make_view()))
 
+    def abandon(self) -> None:
+        """End the request early, as if its caller had disconnected."""
+        self._apply(sharded.abandon(self._state))
+
     def _apply(self, actions: legs.Actions) -> None:
         for action in actions:
             match action:
@@ -313,6 +322,7 @@
         queue = instance.request_queue(target.name)
 
         def transmit() -> None:
+            job.is_sent = True
             queue.in_flight += 1
             delay_seconds = network_delay_seconds(instance.zone, target.zone)
             at_seconds = self._clock.now_seconds + delay_seconds
@@ -381,8 +391,10 @@
 
     def _release_connection(self, attempt: legs.Attempt, job: Job) -> None:
         attempt.replica.pending.pop(id(job), None)
+        if not job.is_sent:
+            return
         queue = self._instance.request_queue(attempt.replica.entry.target)
-        queue.in_flight = max(0, queue.in_flight - 1)
+        queue.in_flight -= 1
         while queue.waiting and queue.in_flight < CONNECTION_LIMIT:
             queue.waiting.popleft()()
 
--- a/bench/model/targets.py
+++ b/bench/model/targets.py
@@ -56,10 +56,18 @@
     :param request_number: Number of the request.
     :param work_seconds: Processing time on a healthy target.
     :param reply: Called with the reply, unless the job was cancelled.
+    :param is_sent: Whether it was sent to the target; it waits for a
+        connection before.
     :param is_cancelled: Whether the instance no longer waits for the reply.
     """
 
-    __slots__ = ('is_cancelled', 'reply', 'request_number', 'work_seconds')
+    __slots__ = (
+        'is_cancelled',
+        'is_sent',
+        'reply',
+        'request_number',
+        'work_seconds',
+    )
 
     def __init__(
         self, request_number: int, work_seconds: float, reply: ReplyCallback
@@ -67,6 +75,7 @@
         self.request_number = request_number
         self.work_seconds = work_seconds
         self.reply = reply
+        self.is_sent = False
         self.is_cancelled = False
 
 
--- a/celeryturn/commands/book.py
+++ b/celeryturn/commands/book.py
@@ -119,7 +119,10 @@
     """
     _require_new_id(instance, request)
     sender = Sender(instance, target_links, request, _plan(instance, request))
-    booking_table.begin(instance.bookings, request.booking_id)
+    if not booking_table.begin(instance.bookings, request.booking_id):
+        raise CeleryturnError(
+            Kind.OVERLOADED, 'too many bookings are being sent'
+        )
     task = asyncio.get_running_loop().create_task(_run(sender))
     instance.background_tasks.add(task)
     task.add_done_callback(instance.background_tasks.discard)
--- a/celeryturn/decisions/booking_table.py
+++ b/celeryturn/decisions/booking_table.py
@@ -12,13 +12,15 @@
 class BookingTable:
     """Outcomes of bookings by id, bounded in size.
 
-    :param outcomes: Outcome of each booking, or ``in_flight``; oldest first.
-        When the table is full, the oldest entry is dropped.
+    :param in_flight: Identifiers of bookings that are being sent.
+    :param outcomes: Outcome of each booking that has ended; oldest first.
+        When the table is full, the oldest outcome is dropped.
     """
 
-    __slots__ = ('outcomes',)
+    __slots__ = ('in_flight', 'outcomes')
 
     def __init__(self) -> None:
+        self.in_flight: set[str] = set()
         self.outcomes: OrderedDict[str, str] = OrderedDict()
 
 
@@ -30,6 +32,8 @@
     :returns: The outcome or ``in_flight``; ``None`` if the booking may be
         sent.
     """
+    if booking_id in table.in_flight:
+        return IN_FLIGHT
     return table.outcomes.get(booking_id)
 
 
@@ -45,15 +49,20 @@
     return Kind.DUPLICATE_BOOKING
 
 
-def begin(table: BookingTable, booking_id: str) -> None:
+def begin(table: BookingTable, booking_id: str) -> bool:
     """Record that a booking is being sent.
 
     :param table: Booking table of the instance.
     :param booking_id: Booking identifier chosen by the caller.
+    :returns: Whether the booking may be sent.  It may not if the table is full
+        of bookings in flight: without its identifier, a repetition could not
+        be detected.
     """
-    table.outcomes[booking_id] = IN_FLIGHT
-    if len(table.outcomes) > MAX_BOOKINGS:
-        table.outcomes.popitem(last=False)
+    if len(table.in_flight) >= MAX_BOOKINGS:
+        return False
+    table.in_flight.add(booking_id)
+    _drop_oldest(table)
+    return True
 
 
 def finish(table: BookingTable, booking_id: str, outcome: str) -> None:
@@ -66,7 +75,20 @@
     :param booking_id: Booking identifier chosen by the caller.
     :param outcome: Outcome of the booking; ``not_run`` removes the entry.
     """
-    if outcome == 'not_run':
-        table.outcomes.pop(booking_id, None)
-    else:
+    table.in_flight.discard(booking_id)
+    if outcome != 'not_run':
         table.outcomes[booking_id] = outcome
+
+
+def count(table: BookingTable) -> int:
+    """Return the number of bookings in the table.
+
+    :param table: Booking table of the instance.
+    :returns: Bookings in flight and bookings that have ended.
+    """
+    return len(table.in_flight) + len(table.outcomes)
+
+
+def _drop_oldest(table: BookingTable) -> None:
+    while count(table) > MAX_BOOKINGS and table.outcomes:
+        table.outcomes.popitem(last=False)
--- a/celeryturn/decisions/latency.py
+++ b/celeryturn/decisions/latency.py
@@ -20,7 +20,8 @@
     :param window_start_seconds: Start of the current window.
     :param refreshed_seconds: When the cached quantiles were last
         discarded.
-    :param cached_seconds: Cached quantiles by percentile.
+    :param cached_seconds: Cached quantiles by percentile; ``None`` while there
+        are too few samples.
     """
 
     __slots__ = (
@@ -36,7 +37,7 @@
         self.previous = _new_histogram()
         self.window_start_seconds = now_seconds
         self.refreshed_seconds = now_seconds
-        self.cached_seconds: dict[float, float] = {}
+        self.cached_seconds: dict[float, float | None] = {}
 
 
 def record(
@@ -77,22 +78,21 @@
     if now_seconds - window.refreshed_seconds > REFRESH_SECONDS:
         window.cached_seconds.clear()
         window.refreshed_seconds = now_seconds
-    cached = window.cached_seconds.get(percentile)
-    if cached is None:
-        cached = _compute_quantile(window, percentile, default_seconds)
-        window.cached_seconds[percentile] = cached
-    return cached
+    if percentile not in window.cached_seconds:
+        window.cached_seconds[percentile] = _compute_quantile(
+            window, percentile
+        )
+    cached = window.cached_seconds[percentile]
+    return default_seconds if cached is None else cached
 
 
-def _compute_quantile(
-    window: LatencyWindow, percentile: float, default_seconds: float
-) -> float:
+def _compute_quantile(window: LatencyWindow, percentile: float) -> float | None:
     fullest = max(
         (window.current, window.previous),
         key=lambda histogram: histogram.get_total_count(),
     )
     if fullest.get_total_count() < MIN_SAMPLE_COUNT:
-        return default_seconds
+        return None
     return (
         float(fullest.get_value_at_percentile(percentile))
         / MICROSECONDS_PER_SECOND
--- a/celeryturn/decisions/membership.py
+++ b/celeryturn/decisions/membership.py
@@ -13,6 +13,8 @@
 
 import xxhash
 
+from celeryturn.units import Count, Port
+
 SUSPECT_AFTER_SECONDS: Final = 3.0
 GONE_AFTER_SECONDS: Final = 5.0
 REMOVE_GONE_AFTER_SECONDS: Final = 600.0
@@ -61,10 +63,10 @@
 
     instance: str
     address: str
-    callers_port: int
-    peers_port: int
+    callers_port: Port
+    peers_port: Port
     availability_zone: str
-    incarnation: int = 0
+    incarnation: Count = 0
     status: Status = Status.LISTED
 
 
@@ -163,11 +165,15 @@
 ) -> None:
     """Record a direct contact with a neighbour.
 
+    A name without an entry is ignored, so that the names that peers state for
+    themselves do not accumulate.
+
     :param membership: The membership table.
     :param instance: Name of the neighbour.
     :param now_seconds: Time of the contact.
     """
-    membership.last_contact_seconds[instance] = now_seconds
+    if instance in membership.members:
+        membership.last_contact_seconds[instance] = now_seconds
 
 
 def tick(
--- a/celeryturn/decisions/replicas.py
+++ b/celeryturn/decisions/replicas.py
@@ -2,7 +2,11 @@
 
 import math
 from collections.abc import Iterable
-from typing import Final, NamedTuple
+from typing import Annotated, Final, NamedTuple, TypeAlias
+
+import msgspec
+
+from celeryturn.units import Integer, Port, PositiveCount
 
 SMOOTHING_FACTOR: Final = 0.25
 DECAY_SECONDS: Final = 4.0
@@ -23,6 +27,11 @@
 JITTER_SHARE: Final = 0.1
 MIN_TYPICAL_SECONDS: Final = 0.0001
 GOLDEN_RATIO: Final = 0.618034
+MAX_COLD_SECONDS: Final = 86_400.0
+
+ColdSeconds: TypeAlias = Annotated[
+    float, msgspec.Meta(ge=0, le=MAX_COLD_SECONDS)
+]
 
 
 class TargetEntry(NamedTuple):
@@ -45,13 +54,13 @@
     target: str
     service: str
     address: str
-    port: int
+    port: Port
     zone: str
-    slot_count: int
+    slot_count: PositiveCount
     is_draining: bool
-    cold_seconds: float
-    born_ms: int
-    sequence: int
+    cold_seconds: ColdSeconds
+    born_ms: Integer
+    sequence: Integer
 
 
 class Load(NamedTuple):
@@ -149,9 +158,7 @@
     :param expected_latency: Expected latencies of the route.
     :param now_seconds: Time of the reply.
     """
-    replica.last_reply_seconds = now_seconds
-    replica.connect_failure_count = 0
-    replica.unanswered_count = 0
+    observe_response(replica, now_seconds)
     previous = decayed_slowness(replica, now_seconds)
     observed = latency_seconds / max(
         expected_latency.typical_seconds, MIN_TYPICAL_SECONDS
@@ -194,6 +201,19 @@
     replica.probe_at_seconds = now_seconds + wait_seconds
 
 
+def observe_response(replica: Replica, now_seconds: float) -> None:
+    """Record that a target responded, whatever the outcome.
+
+    A target that responds is not paused.
+
+    :param replica: Target that responded.
+    :param now_seconds: Time of the response.
+    """
+    replica.last_reply_seconds = now_seconds
+    replica.connect_failure_count = 0
+    replica.unanswered_count = 0
+
+
 def observe_failure(replica: Replica, now_seconds: float) -> None:
     """Record a failed request.
 
--- a/celeryturn/decisions/sharded.py
+++ b/celeryturn/decisions/sharded.py
@@ -190,7 +190,6 @@
     replica = _choose(request, position, view)
     service = request.plan.services[position]
     if replica is not None and view.spend(service, HEDGE_RESERVE_SHARE):
-        leg.missing_resource = None
         return [_send(request, position, replica, view)]
     leg.missing_resource = (
         MissingResource.EXTRA_LOAD if replica else MissingResource.TARGET
@@ -230,6 +229,7 @@
     attempt = Attempt(request.send_count, position, replica, view.now_seconds)
     leg.attempts[attempt.number] = attempt
     leg.tried_targets.add(replica.entry.target)
+    leg.missing_resource = None
     leg.hedge_at_seconds = view.now_seconds + view.hedge_delay_seconds
     request.in_flight[attempt.number] = position
     return Send(attempt)
--- a/celeryturn/events.py
+++ b/celeryturn/events.py
@@ -83,6 +83,11 @@
 FORWARDED: Final = Event(
     403, 'forwarded', 'A forwarded request succeeded; only a sample is logged.'
 )
+HEADER_IGNORED: Final = Event(
+    404,
+    'header_ignored',
+    'A header of a caller or a target holds no valid number and was ignored.',
+)
 LINES_DROPPED: Final = Event(
     901,
     'lines_dropped',
@@ -122,6 +127,7 @@
     BOOKING_ENDED,
     FORWARDED_BADLY,
     FORWARDED,
+    HEADER_IGNORED,
     TARGET_LEAVING,
     TARGET_RETURNED,
     INTERNAL_FAULT,
--- a/celeryturn/forwarding/app.py
+++ b/celeryturn/forwarding/app.py
@@ -130,12 +130,18 @@
     def apply_settings(self, settings: ForwardingSettings) -> None:
         """Apply changed settings, except for names and ports.
 
+        If the address of the store has changed, the watch is restarted there.
+
         :param settings: Changed settings.
         """
         self.network.seeds = settings.seeds
+        known = self.shared.settings.instance
+        store = settings.instance.configuration
         self.shared.settings = settings._replace(
-            instance=self.shared.settings.instance
+            instance=known._replace(configuration=store, instances=store)
         )
+        if store != known.configuration:
+            self.restart_watch()
 
     def restart_watch(self) -> None:
         """Restart the watch of the store, at the address in the settings."""
@@ -227,7 +233,7 @@
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
         # Wait for contact with a peer: a restarted instance must not serve an
         # older configuration than the current one, and its advice to callers
-        # also names peers.
+        # also names peers.  Peers without power do not respond at all.
         while self._must_wait_for_peers(started_seconds):
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
         shared.instance.is_ready = True
@@ -240,10 +246,11 @@
     def _must_wait_for_peers(self, started_seconds: float) -> bool:
         if self.network.first_contact.is_set():
             return False
-        own_endpoint = self.shared.settings.instance.peers
-        has_seeds = any(seed != own_endpoint for seed in self.network.seeds)
         waited_seconds = shared_state.now() - started_seconds
-        return has_seeds and waited_seconds < FIRST_PEER_WAIT_SECONDS
+        return (
+            peers.may_reach_seed(self.network)
+            and waited_seconds < FIRST_PEER_WAIT_SECONDS
+        )
 
 
 async def _listen(server: HttpServer, endpoint: Endpoint) -> Fault | None:
--- a/celeryturn/forwarding/forward.py
+++ b/celeryturn/forwarding/forward.py
@@ -111,7 +111,11 @@
     remaining_seconds = wire.read_remaining_seconds(request)
     max_wait_seconds = route.timeout_seconds
     caller_elapsed_seconds = 0.0
-    if remaining_seconds is not None:
+    if remaining_seconds is None:
+        text = wire.ignored_remaining_text(request)
+        attempt_id = wire.read_attempt_id(request)
+        shared_state.log_ignored_header(shared, attempt_id, text)
+    else:
         max_wait_seconds = min(max_wait_seconds, remaining_seconds)
         caller_elapsed_seconds = _caller_elapsed_seconds(
             shared, route, remaining_seconds
--- a/celeryturn/forwarding/metrics.py
+++ b/celeryturn/forwarding/metrics.py
@@ -100,6 +100,10 @@
     ('extra_load_left', 'Extra requests that may be sent now by service'),
     ('requests_under_way', 'Requests that are being forwarded'),
     ('instances', 'Instances by status in the membership table'),
+    (
+        'headers_ignored',
+        'Headers of callers and targets that hold no valid number',
+    ),
     (
         'log_lines_dropped',
         'Log lines dropped since their number was last logged',
@@ -138,7 +142,7 @@
     gauges['table_version'].set({}, shared_state.table_version(shared))
     gauges['store_age_seconds'].set({}, age_seconds)
     gauges['requests_under_way'].set({}, len(shared.in_flight))
-    gauges['log_lines_dropped'].set({}, shared.line_budget.dropped_count)
+    _set_log_gauges(shared.log_state, gauges)
     for service, replicas in shared.directory.replicas.items():
         draining_count = sum(
             replica.entry.is_draining for replica in replicas.values()
@@ -165,6 +169,13 @@
     _set_instances(shared, gauges)
 
 
+def _set_log_gauges(
+    log_state: shared_state.LogState, gauges: dict[str, Gauge]
+) -> None:
+    gauges['log_lines_dropped'].set({}, log_state.line_budget.dropped_count)
+    gauges['headers_ignored'].set({}, log_state.ignored_header_count)
+
+
 def _set_instances(shared: SharedState, gauges: dict[str, Gauge]) -> None:
     members = shared.instance.membership.members.values()
     for status in membership.Status:
--- a/celeryturn/forwarding/request_log.py
+++ b/celeryturn/forwarding/request_log.py
@@ -56,7 +56,9 @@
     now_seconds = shared_state.now()
     is_late = legs.is_late(plan, now_seconds)
     is_bad = is_late or state.success_count < len(state.legs)
-    if not may_write(shared.line_budget, now_seconds, is_important=is_bad):
+    if not may_write(
+        shared.log_state.line_budget, now_seconds, is_important=is_bad
+    ):
         return
     log(
         FORWARDED_BADLY if is_bad else FORWARDED,
@@ -86,7 +88,9 @@
     :param error: Error that the caller received.
     """
     now_seconds = shared_state.now()
-    if not may_write(shared.line_budget, now_seconds, is_important=True):
+    if not may_write(
+        shared.log_state.line_budget, now_seconds, is_important=True
+    ):
         return
     log(
         REFUSED,
@@ -104,7 +108,7 @@
 
     :param shared: Shared state of the instance.
     """
-    dropped_count = take_dropped_count(shared.line_budget)
+    dropped_count = take_dropped_count(shared.log_state.line_budget)
     if dropped_count:
         log(LINES_DROPPED, count=dropped_count)
 
--- a/celeryturn/forwarding/runner.py
+++ b/celeryturn/forwarding/runner.py
@@ -235,6 +235,10 @@
         if isinstance(outcome, Exception):
             return TargetReply(AttemptOutcome.LOST)
         reply = wire.read_reply(outcome)
+        if reply.load is None:
+            target = attempt.replica.entry.target
+            text = wire.ignored_load_text(outcome)
+            shared_state.log_ignored_header(self.shared, target, text)
         if len(self.context.plan.services) == 1:
             self.replies[reply.signature] = outcome
         return reply
@@ -245,6 +249,8 @@
         now_seconds = shared_state.now()
         if reply.load is not None:
             replicas.observe_load(replica, reply.load, now_seconds)
+        if reply.attempt_outcome in _RESPONSE_OUTCOMES:
+            replicas.observe_response(replica, now_seconds)
         if reply.attempt_outcome is AttemptOutcome.SUCCEEDED:
             waited_seconds = now_seconds - exchange.written_seconds
             expected_latency = self.expected_latency(now_seconds)
@@ -295,6 +301,14 @@
         )
 
 
+_RESPONSE_OUTCOMES: Final = frozenset(
+    (
+        AttemptOutcome.SUCCEEDED,
+        AttemptOutcome.FAILED,
+        AttemptOutcome.SHED,
+        AttemptOutcome.UNUSABLE,
+    )
+)
 # No process or another target listens at the address of the target.
 _UNREACHABLE_OUTCOMES: Final = frozenset(
     (AttemptOutcome.NOT_SENT, AttemptOutcome.WRONG_TARGET)
--- a/celeryturn/forwarding/shared_state.py
+++ b/celeryturn/forwarding/shared_state.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Protocol, TypeAlias
+from typing import Final, Protocol, TypeAlias
 
 from celeryturn.clock import boottime_seconds
 from celeryturn.decisions import extra_load, membership
@@ -11,17 +11,23 @@
 from celeryturn.decisions.directory import Directory
 from celeryturn.decisions.entry_history import EntryHistory
 from celeryturn.decisions.latency import LatencyWindow
-from celeryturn.decisions.line_budget import LineBudget
+from celeryturn.decisions.line_budget import LineBudget, may_write
 from celeryturn.decisions.replicas import Replica
 from celeryturn.decisions.route_table import RouteTable, is_newer
 from celeryturn.decisions.splitting import Splitter
 from celeryturn.errors import CeleryturnError
-from celeryturn.events import NOT_ADOPTED, TABLE_ADOPTED, log
+from celeryturn.events import (
+    HEADER_IGNORED,
+    NOT_ADOPTED,
+    TABLE_ADOPTED,
+    log,
+)
 from celeryturn.forwarding.pools import Pool, close_pool, drop_idle
 from celeryturn.forwarding.settings import ForwardingSettings
 from celeryturn.instance import Instance
 from celeryturn.platform.documents import decode_table
 
+MAX_LOGGED_CHARACTERS: Final = 40
 OnAdopted: TypeAlias = Callable[[RouteTable], None]
 
 
@@ -76,6 +82,21 @@
         """End the request with the replies received so far."""
 
 
+class LogState:
+    """Rate limit of log lines, and counts of what may not be logged.
+
+    :param line_budget: Rate limit of log lines.
+    :param ignored_header_count: Headers of callers and targets that were
+        ignored, since they hold no valid number.
+    """
+
+    __slots__ = ('ignored_header_count', 'line_budget')
+
+    def __init__(self, now_seconds: float) -> None:
+        self.line_budget = LineBudget(now_seconds)
+        self.ignored_header_count = 0
+
+
 class SharedState:
     """State that the parts of a forwarding instance share.
 
@@ -93,7 +114,7 @@
     :param in_flight: Requests that are being forwarded.
     :param is_refusing: Whether new requests are refused without being run.
     :param progress: Progress of reading the store.
-    :param line_budget: Rate limit of log lines.
+    :param log_state: Rate limit of log lines and what they count.
     """
 
     def __init__(
@@ -113,7 +134,7 @@
         self.in_flight: set[Stoppable] = set()
         self.is_refusing = False
         self.progress = StoreProgress(now())
-        self.line_budget = LineBudget(now())
+        self.log_state = LogState(now())
 
 
 def adopt_table(shared: SharedState, body: bytes, source: str) -> bool:
@@ -278,6 +299,24 @@
             close_pool(shared.pools.pop(target))
 
 
+def log_ignored_header(
+    shared: SharedState, sender: str, text: str | None
+) -> None:
+    """Count and log a header that was ignored, if there is one.
+
+    :param shared: Shared state of the instance.
+    :param sender: Attempt identifier of the caller's request, or identifier
+        of the target.
+    :param text: Text of the header, of which the start is logged; ``None`` if
+        there is no such header.
+    """
+    if text is None:
+        return
+    shared.log_state.ignored_header_count += 1
+    if may_write(shared.log_state.line_budget, now(), is_important=True):
+        log(HEADER_IGNORED, sender=sender, text=text[:MAX_LOGGED_CHARACTERS])
+
+
 def now() -> float:
     """Read the clock that all parts of a forwarding instance use.
 
--- a/celeryturn/forwarding/store_watch.py
+++ b/celeryturn/forwarding/store_watch.py
@@ -61,17 +61,11 @@
     :param shared: Shared state of the instance.
     """
     client = StoreClient(shared.settings.instance.configuration)
-    progress = shared.progress
-    while True:
-        try:
-            await _sync_once(shared, client)
-        except HistoryGoneError:
-            progress.revision = 0
-        except OSError as error:
-            _record_failure(progress, error)
-            await asyncio.sleep(
-                retry_delay_seconds(progress, shared.instance.random())
-            )
+    try:
+        while True:
+            await _sync_or_wait(shared, client)
+    finally:
+        client.close()
 
 
 def note_peer_revision(shared: SharedState, peer_revision: int) -> None:
@@ -112,6 +106,19 @@
         log_dropped_lines(shared)
 
 
+async def _sync_or_wait(shared: SharedState, client: StoreClient) -> None:
+    progress = shared.progress
+    try:
+        await _sync_once(shared, client)
+    except HistoryGoneError:
+        progress.revision = 0
+    except OSError as error:
+        _record_failure(progress, error)
+        await asyncio.sleep(
+            retry_delay_seconds(progress, shared.instance.random())
+        )
+
+
 async def _sync_once(shared: SharedState, client: StoreClient) -> None:
     progress = shared.progress
     if not progress.revision:
--- a/celeryturn/http/client.py
+++ b/celeryturn/http/client.py
@@ -9,7 +9,14 @@
 
 import h11
 
-from celeryturn.http.messages import HttpReply, HttpRequest, header
+from celeryturn.http.messages import (
+    HttpReply,
+    HttpRequest,
+    decode_headers,
+    encode_headers,
+    header,
+)
+from celeryturn.number_text import read_decimal
 from celeryturn.timer import Timer
 
 OnDone: TypeAlias = Callable[[HttpReply | Exception], None]
@@ -21,7 +28,8 @@
 KEEPALIVE_IDLE_SECONDS: Final = 2
 KEEPALIVE_INTERVAL_SECONDS: Final = 1
 KEEPALIVE_PROBE_COUNT: Final = 2
-_KEEP_ALIVE_TIMEOUT: Final = re.compile(r'timeout\s*=\s*(\d+)')
+MAX_IDLE_TIMEOUT_SECONDS: Final = 86_400.0
+_KEEP_ALIVE_TIMEOUT: Final = re.compile(r'timeout\s*=\s*([0-9]+)')
 
 
 class ExchangeError(ConnectionError):
@@ -180,7 +188,9 @@
         machine = self._machine
         head = machine.send(
             h11.Request(
-                method=request.method, target=request.url, headers=headers
+                method=request.method,
+                target=request.url,
+                headers=encode_headers(headers),
             )
         )
         body = machine.send(h11.Data(request.body)) if request.body else b''
@@ -214,10 +224,7 @@
         return False
 
     def _begin_reply(self, event: h11.Response) -> None:
-        headers = tuple(
-            (name.decode('latin-1'), text.decode('latin-1'))
-            for name, text in event.headers
-        )
+        headers = decode_headers(event.headers)
         self._reply = HttpReply(event.status_code, headers)
 
     def _finish_reply(self) -> None:
@@ -256,7 +263,12 @@
         matched = _KEEP_ALIVE_TIMEOUT.search(
             header(reply.headers, 'keep-alive') or ''
         )
-        self.idle_seconds = float(matched.group(1)) if matched else math.inf
+        idle_seconds = (
+            read_decimal(matched.group(1), MAX_IDLE_TIMEOUT_SECONDS)
+            if matched
+            else None
+        )
+        self.idle_seconds = math.inf if idle_seconds is None else idle_seconds
 
     def _abort_unsolicited(self) -> None:
         # Nothing on a connection with unsolicited bytes can be trusted.
--- a/celeryturn/http/messages.py
+++ b/celeryturn/http/messages.py
@@ -1,6 +1,7 @@
 """HTTP requests and replies as plain data."""
 
-from typing import NamedTuple, TypeAlias
+from collections.abc import Iterable
+from typing import Final, NamedTuple, TypeAlias
 from urllib.parse import parse_qsl, urlsplit
 
 import msgspec
@@ -8,6 +9,9 @@
 from celeryturn.schema import encode
 
 Headers: TypeAlias = tuple[tuple[str, str], ...]
+HeaderBytes: TypeAlias = tuple[bytes, bytes]
+
+HEADER_ENCODING: Final = 'latin-1'
 
 
 class HttpRequest(NamedTuple):
@@ -69,11 +73,39 @@
     return None
 
 
+def encode_headers(headers: Iterable[tuple[str, str]]) -> list[HeaderBytes]:
+    """Encode headers with the bytes they were received with.
+
+    :param headers: Pairs of name and value.
+    :returns: Pairs of bytes.
+    """
+    return [
+        (name.encode(HEADER_ENCODING), text.encode(HEADER_ENCODING))
+        for name, text in headers
+    ]
+
+
+def decode_headers(headers: Iterable[HeaderBytes]) -> Headers:
+    """Decode received headers; any byte is accepted.
+
+    :param headers: Pairs of bytes.
+    :returns: Pairs of name and value.
+    """
+    return tuple(
+        (name.decode(HEADER_ENCODING), text.decode(HEADER_ENCODING))
+        for name, text in headers
+    )
+
+
 def split_url(url: str) -> tuple[str, dict[str, str]]:
     """Split the URL of a request.
 
     :param url: Path with its query string.
-    :returns: The path and the fields of the query string.
+    :returns: The path and the fields of the query string; the whole text as
+        the path if it is not a valid URL.
     """
-    parts = urlsplit(url)
+    try:
+        parts = urlsplit(url)
+    except ValueError:
+        return url, {}
     return parts.path, dict(parse_qsl(parts.query))
--- a/celeryturn/http/server.py
+++ b/celeryturn/http/server.py
@@ -7,7 +7,12 @@
 import h11
 
 from celeryturn.errors import ANSWERS, CeleryturnError, Kind
-from celeryturn.http.messages import Headers, HttpReply, HttpRequest
+from celeryturn.http.messages import (
+    HttpReply,
+    HttpRequest,
+    decode_headers,
+    encode_headers,
+)
 from celeryturn.timer import Timer
 
 RequestHandler: TypeAlias = Callable[[HttpRequest], Awaitable[HttpReply]]
@@ -244,7 +249,7 @@
         self._request = HttpRequest(
             event.method.decode('latin-1'),
             event.target.decode('latin-1'),
-            _decode_headers(event),
+            decode_headers(event.headers),
         )
         if self._machine.they_are_waiting_for_100_continue:
             informational = h11.InformationalResponse(
@@ -313,7 +318,9 @@
             headers.append(('connection', 'close'))
         machine = self._machine
         head = machine.send(
-            h11.Response(status_code=reply.status, headers=headers)
+            h11.Response(
+                status_code=reply.status, headers=encode_headers(headers)
+            )
         )
         body = machine.send(h11.Data(reply.body)) if reply.body else b''
         end = machine.send(h11.EndOfMessage())
@@ -335,13 +342,6 @@
         )
 
 
-def _decode_headers(event: h11.Request) -> Headers:
-    return tuple(
-        (name.decode('latin-1'), text.decode('latin-1'))
-        for name, text in event.headers
-    )
-
-
 def _protocol_error(error: h11.RemoteProtocolError) -> CeleryturnError:
     kind = Kind.BAD_REQUEST
     if error.error_status_hint in {
--- a/celeryturn/peers/messages.py
+++ b/celeryturn/peers/messages.py
@@ -10,7 +10,7 @@
 from celeryturn.decisions.membership import Member
 from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.schema import decode, encode
-from celeryturn.units import Count, Name
+from celeryturn.units import ClockSeconds, Count, Digest, Name
 
 PROTOCOL_VERSION: Final = 1
 MAX_MESSAGE_BYTES: Final = 2_000_000
@@ -37,7 +37,7 @@
         store.
     """
 
-    sent_seconds: float
+    sent_seconds: ClockSeconds
     table_version: Count = 0
     store_revision: Count = 0
 
@@ -57,9 +57,9 @@
         store.
     """
 
-    echo_seconds: float
-    age_seconds: float
-    versions_digest: Count
+    echo_seconds: ClockSeconds
+    age_seconds: ClockSeconds
+    versions_digest: Digest
     highest_revision: Count
     table_version: Count = 0
     store_revision: Count = 0
--- a/celeryturn/peers/network.py
+++ b/celeryturn/peers/network.py
@@ -18,14 +18,13 @@
     current_versions,
     log_member_changes,
 )
-from celeryturn.peers import messages
+from celeryturn.peers import dial_timeouts, messages
 from celeryturn.peers.handlers import handle_message, request_target_list
 from celeryturn.peers.links import PeerLink, enqueue, send_queued
+from celeryturn.peers.seeds import may_reach_any, unknown_seed_urls
 from celeryturn.settings import Endpoint
 from celeryturn.watcher import update_connection_shares
 
-DIAL_TIMEOUT_SECONDS: Final = 2.0
-SEED_NAME_PREFIX: Final = 'seed'
 FAST_RETRY_SECONDS: Final = 0.1
 
 
@@ -42,9 +41,12 @@
         reported.
     :param server: Server that accepts links; ``None`` until started.
     :param seeds: Endpoints of peers whose names are not known in advance.
+    :param dial_timeouts: Attempts to dial a peer that timed out before the
+        first contact, by the name used in ``dialling``.
     """
 
     __slots__ = (
+        'dial_timeouts',
         'dialling',
         'first_contact',
         'instance',
@@ -64,6 +66,7 @@
         self.peer_versions: dict[str, int] = {}
         self.server: Server | None = None
         self.seeds: tuple[Endpoint, ...] = ()
+        self.dial_timeouts = dial_timeouts.DialTimeouts()
         instance.on_adopted.append(
             lambda adopted: _broadcast_adopted(self, adopted)
         )
@@ -146,7 +149,7 @@
     _watch_neighbours(network, set(neighbours))
     members = instance.membership.members
     urls = {name: _url(members[name]) for name in (*neighbours, *retried)}
-    urls.update(_unknown_seed_urls(network))
+    urls.update(unknown_seed_urls(network.seeds, members.values()))
     _update_dialled_links(network, urls)
 
 
@@ -187,6 +190,17 @@
         broadcast(network, messages.Members(tuple(changed)), source_link)
 
 
+def may_reach_seed(network: Network) -> bool:
+    """Return whether a seed may still respond, before the first contact.
+
+    :param network: The network.
+    :returns: False if there is no seed but this instance, or if none of them
+        has responded to several attempts to dial it.
+    """
+    own_endpoint = network.instance.settings.peers
+    return may_reach_any(network.seeds, own_endpoint, network.dial_timeouts)
+
+
 async def close_network(network: Network) -> None:
     """Close dialled links and the server with its accepted links.
 
@@ -261,42 +275,33 @@
         network.dialling[obsolete].cancel()
 
 
-def _unknown_seed_urls(network: Network) -> dict[str, str]:
-    # The name of a seed is known only after it has sent its hello; until
-    # then it is identified by its address.
-    known = {
-        (member.address, member.peers_port)
-        for member in network.instance.membership.members.values()
-        if member.status is not membership.Status.GONE
-    }
-    return {
-        f'{SEED_NAME_PREFIX} {seed.address}:{seed.port}': (
-            f'ws://{seed.address}:{seed.port}/'
-        )
-        for seed in network.seeds
-        if (seed.address, seed.port) not in known
-    }
-
-
 async def _dial(network: Network, name: str, url: str) -> None:
     try:
         await _dial_once(network, name, url)
-    except (OSError, WebSocketException):
-        max_delay_seconds = (
-            1 if network.first_contact.is_set() else FAST_RETRY_SECONDS
-        )
+    except (OSError, WebSocketException) as error:
+        if network.first_contact.is_set():
+            max_delay_seconds = 1.0
+        else:
+            max_delay_seconds = FAST_RETRY_SECONDS
+            dial_timeouts.record_failure(network.dial_timeouts, name, error)
         await asyncio.sleep(max_delay_seconds * network.instance.random())
     finally:
         network.dialling.pop(name, None)
 
 
+def _open_timeout_seconds(network: Network, name: str) -> float:
+    if network.first_contact.is_set():
+        return dial_timeouts.MAX_TIMEOUT_SECONDS
+    return dial_timeouts.timeout_seconds(network.dial_timeouts, name)
+
+
 async def _dial_once(network: Network, name: str, url: str) -> None:
     async with connect(
         url,
         max_size=messages.MAX_MESSAGE_BYTES,
         compression=None,
         ping_interval=None,
-        open_timeout=DIAL_TIMEOUT_SECONDS,
+        open_timeout=_open_timeout_seconds(network, name),
         close_timeout=1,
         proxy=None,
     ) as socket:
--- /dev/null
+++ b/celeryturn/peers/seeds.py
@@ -0,0 +1,56 @@
+"""Seeds: peers that are dialled before their names are known."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from celeryturn.decisions import membership
+from celeryturn.peers.dial_timeouts import DialTimeouts, may_be_reachable
+from celeryturn.settings import Endpoint
+
+NAME_PREFIX: Final = 'seed'
+
+
+def unknown_seed_urls(
+    seeds: Iterable[Endpoint], members: Iterable[membership.Member]
+) -> dict[str, str]:
+    """List the seeds that no known member has the address of.
+
+    The name of a seed is known only after it has sent its hello; until then it
+    is identified by its address.
+
+    :param seeds: Endpoints of the seeds.
+    :param members: Known members.
+    :returns: URL by temporary name of the seed.
+    """
+    known = {
+        (member.address, member.peers_port)
+        for member in members
+        if member.status is not membership.Status.GONE
+    }
+    return {
+        _temporary_name(seed): f'ws://{seed.address}:{seed.port}/'
+        for seed in seeds
+        if (seed.address, seed.port) not in known
+    }
+
+
+def may_reach_any(
+    seeds: Iterable[Endpoint], own: Endpoint, timeouts: DialTimeouts
+) -> bool:
+    """Return whether a seed other than this instance may still respond.
+
+    :param seeds: Endpoints of the seeds.
+    :param own: Endpoint of this instance.
+    :param timeouts: Attempts to dial a seed that timed out.
+    :returns: False if there is no other seed, or if none of them has responded
+        to several attempts.
+    """
+    return any(
+        may_be_reachable(timeouts, _temporary_name(seed))
+        for seed in seeds
+        if seed != own
+    )
+
+
+def _temporary_name(seed: Endpoint) -> str:
+    return f'{NAME_PREFIX} {seed.address}:{seed.port}'
--- a/celeryturn/platform/documents.py
+++ b/celeryturn/platform/documents.py
@@ -10,17 +10,18 @@
 from celeryturn.decisions.replicas import TargetEntry
 from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.platform.node_settings import parse_endpoint
+from celeryturn.units import Fraction, Integer, PositiveCount
 
 TABLE_KEY: Final = 'op/config'
 TARGETS_PREFIX: Final = 'servers/'
 MILLISECONDS_PER_SECOND: Final = 1000
+MAX_MILLISECONDS: Final = 86_400_000.0
+MAX_WEIGHT: Final = 1e9
 
 DocumentT = TypeVar('DocumentT')
 _Text = Annotated[str, msgspec.Meta(min_length=1)]
-_Milliseconds = Annotated[float, msgspec.Meta(gt=0)]
-_Weight = Annotated[float, msgspec.Meta(ge=0)]
-_Fraction = Annotated[float, msgspec.Meta(ge=0, le=1)]
-_PositiveCount = Annotated[int, msgspec.Meta(ge=1)]
+_Milliseconds = Annotated[float, msgspec.Meta(gt=0, le=MAX_MILLISECONDS)]
+_Weight = Annotated[float, msgspec.Meta(ge=0, le=MAX_WEIGHT)]
 
 
 class _PartBody(TypedDict):
@@ -38,31 +39,31 @@
     # the time a target takes.
     TimeoutMs: _Milliseconds
     TargetLatencyMs: _Milliseconds
-    MaxAttempts: _PositiveCount
-    Priority: int
+    MaxAttempts: PositiveCount
+    Priority: Integer
     Service: _Text
-    Split: list[_PartBody]
-    Gather: list[_Text]
-    TopK: _PositiveCount
-    MinPartShare: _Fraction
+    Split: Annotated[list[_PartBody], msgspec.Meta(min_length=1)]
+    Gather: Annotated[list[_Text], msgspec.Meta(min_length=1)]
+    TopK: PositiveCount
+    MinPartShare: Fraction
 
 
 class _ServiceBody(TypedDict):
     Name: _Text
     # Limit on the sum of the connections of all callers of one target.
-    MaxConns: _PositiveCount
+    MaxConns: PositiveCount
 
 
 class _LimitsBody(TypedDict):
-    MaxHeaderBytes: _PositiveCount
-    MaxBodyBytes: _PositiveCount
+    MaxHeaderBytes: PositiveCount
+    MaxBodyBytes: PositiveCount
     # Time until the complete request has arrived, not only its header.
     HeaderTimeoutMs: _Milliseconds
     IdleTimeoutMs: _Milliseconds
 
 
 class _TableBody(TypedDict):
-    Version: int
+    Version: Integer
     Routes: list[_RouteBody]
     Services: list[_ServiceBody]
     Limits: _LimitsBody
@@ -72,16 +73,16 @@
     Service: _Text
     Address: _Text
     Zone: _Text
-    Slots: _PositiveCount
+    Slots: PositiveCount
     State: _Text
     # Increases with each write of one incarnation.
-    Sequence: int
+    Sequence: Integer
 
 
 class _EntryBody(_EntryRequired, total=False):
-    ColdLeftMs: Annotated[float, msgspec.Meta(ge=0)]
+    ColdLeftMs: Annotated[float, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
     # Start time in Unix milliseconds, since an identifier may be reused.
-    born: int
+    born: Integer
 
 
 _table_decoder: Final = msgspec.json.Decoder(_TableBody)
--- a/celeryturn/platform/node_settings.py
+++ b/celeryturn/platform/node_settings.py
@@ -7,6 +7,7 @@
 from celeryturn.decisions.extra_load import ExtraLoadBounds
 from celeryturn.errors import CeleryturnError, Fault, Kind
 from celeryturn.forwarding.settings import ForwardingSettings, Grace
+from celeryturn.number_text import read_decimal, read_port
 from celeryturn.settings import Endpoint, Settings, Timing
 
 SETTINGS_PATH_VARIABLE: Final = 'CELERYTURN_BOOT'
@@ -14,6 +15,7 @@
 PEER_IDLE_SECONDS: Final = 3.0
 EXTRA_LOAD_DEFAULTS: Final = ExtraLoadBounds()
 DEFAULT_DESCRIPTOR_COUNT: Final = 1024
+MAX_SETTING: Final = 1e9
 # Descriptors reserved for files.  Callers get a fraction of the others, so that
 # some are left for connections to targets.
 FILE_DESCRIPTOR_COUNT: Final = 200
@@ -131,13 +133,17 @@
         field_text = self._fields.get(name)
         if field_text is None:
             return default
-        try:
-            return float(field_text)
-        except ValueError:
+        number = read_decimal(field_text, MAX_SETTING)
+        if number is None:
             self.faults.append(
-                Fault(name, f'must be a number, got {field_text!r}')
+                Fault(
+                    name,
+                    f'must be a number from 0 to {MAX_SETTING:.0f},'
+                    f' got {field_text!r}',
+                )
             )
             return default
+        return number
 
     def first_port(self, name: str) -> int:
         """Read the first port of a range.
@@ -146,8 +152,9 @@
         :returns: The port, or zero and a recorded fault if there is none.
         """
         port_text = self.text(name).partition(',')[0]
-        if port_text.isascii() and port_text.isdigit():
-            return int(port_text)
+        port = read_port(port_text)
+        if port is not None:
+            return port
         if port_text:
             self.faults.append(
                 Fault(name, f'must be PORT,PORT, got {port_text!r}')
@@ -179,7 +186,8 @@
     :param text: ``IP:PORT``.
     :returns: The endpoint, or ``None`` if the text is not of this form.
     """
-    address, _, port = text.rpartition(':')
-    if not address or not port.isascii() or not port.isdigit():
+    address, _, port_text = text.rpartition(':')
+    port = read_port(port_text)
+    if not address or port is None:
         return None
-    return Endpoint(address, int(port))
+    return Endpoint(address, port)
--- a/celeryturn/platform/store.py
+++ b/celeryturn/platform/store.py
@@ -1,6 +1,6 @@
 """Client of the platform's store: reads a prefix and watches for changes."""
 
-from typing import Annotated, Final, NamedTuple, TypedDict, TypeVar
+from typing import Final, NamedTuple, TypedDict, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
@@ -8,6 +8,7 @@
 from celeryturn.http.client import Connection, connect
 from celeryturn.http.messages import HttpReply, HttpRequest
 from celeryturn.settings import Endpoint
+from celeryturn.units import Count
 
 BodyT = TypeVar('BodyT')
 
@@ -58,12 +59,12 @@
 class _RangeBody(TypedDict):
     items: list[_ItemBody]
     HasMore: bool
-    CurrentRev: Annotated[int, msgspec.Meta(ge=0)]
+    CurrentRev: Count
 
 
 class _WatchBody(TypedDict):
     events: list[_ItemBody]
-    CurrentRev: Annotated[int, msgspec.Meta(ge=0)]
+    CurrentRev: Count
 
 
 _range_decoder: Final = msgspec.json.Decoder(_RangeBody)
--- a/celeryturn/platform/wire.py
+++ b/celeryturn/platform/wire.py
@@ -18,11 +18,14 @@
     header,
     split_url,
 )
+from celeryturn.number_text import read_count, read_decimal
 
 READINESS_PATH: Final = '/v1/readiness'
 RESOLVE_PATH: Final = '/v1/resolve'
 RECORD_BYTES: Final = 16
 MILLISECONDS_PER_SECOND: Final = 1000
+MAX_REMAINING_MS: Final = 86_400_000.0
+MAX_LOAD_FIGURE: Final = 1_000_000
 
 ATTEMPT_ID_HEADER: Final = 'x-attempt-id'
 # Remaining time in milliseconds, not a point in time.
@@ -65,10 +68,22 @@
         request does not state a valid number.
     """
     text = header(request.headers, DEADLINE_HEADER)
-    try:
-        return None if text is None else float(text) / MILLISECONDS_PER_SECOND
-    except ValueError:
+    if text is None:
+        return None
+    remaining_ms = read_decimal(text, MAX_REMAINING_MS)
+    if remaining_ms is None:
         return None
+    return remaining_ms / MILLISECONDS_PER_SECOND
+
+
+def ignored_remaining_text(request: HttpRequest) -> str | None:
+    """Return the text of a remaining time that is not a valid number.
+
+    :param request: A caller's request for which
+        :func:`read_remaining_seconds` returned ``None``.
+    :returns: The text of the header, or ``None`` if there is no header.
+    """
+    return header(request.headers, DEADLINE_HEADER)
 
 
 def read_attempt_id(request: HttpRequest) -> str:
@@ -143,6 +158,15 @@
     )
 
 
+def ignored_load_text(reply: HttpReply) -> str | None:
+    """Return the text of a load report that cannot be read.
+
+    :param reply: A reply that was decoded without a load.
+    :returns: The text of the header, or ``None`` if there is no header.
+    """
+    return header(reply.headers, LOAD_HEADER)
+
+
 def caller_reply(reply: HttpReply) -> HttpReply:
     """Build the reply to a caller from a target's reply.
 
@@ -251,10 +275,11 @@
 def _parse_load(text: str | None) -> Load | None:
     if text is None:
         return None
-    parts = text.split(',')
-    if not all(part.strip().isdigit() for part in parts):
-        return None
-    if len(parts) != len(Load._fields):
+    figures = [
+        read_count(part.strip(), MAX_LOAD_FIGURE) for part in text.split(',')
+    ]
+    known_figures = [figure for figure in figures if figure is not None]
+    if len(known_figures) != len(figures) or len(figures) != len(Load._fields):
         return None
-    running, waiting, slots = (int(part) for part in parts)
+    running, waiting, slots = known_figures
     return Load(running, waiting, max(1, slots))
--- a/celeryturn/queries/dump.py
+++ b/celeryturn/queries/dump.py
@@ -144,7 +144,7 @@
     )
     return {
         'bookings': Bound(
-            len(instance.bookings.outcomes), booking_table.MAX_BOOKINGS
+            booking_table.count(instance.bookings), booking_table.MAX_BOOKINGS
         ),
         'extra_load_tokens': Bound(int(tokens), int(budget.MAX_TOKENS)),
         'links': Bound(len(target_links.links), links.MAX_LINKS),
--- a/standins/shard_target.py
+++ b/standins/shard_target.py
@@ -8,7 +8,12 @@
 
 import h11
 
-from celeryturn.http.messages import Headers, header
+from celeryturn.http.messages import (
+    Headers,
+    decode_headers,
+    encode_headers,
+    header,
+)
 
 MAX_READ_BYTES: Final = 65_536
 OK: Final = 200
@@ -143,7 +148,7 @@
             if isinstance(event, h11.ConnectionClosed):
                 return None
             if isinstance(event, h11.Request):
-                headers = _decode_headers(event)
+                headers = decode_headers(event.headers)
             event = await self._read_event()
         return headers
 
@@ -253,7 +258,9 @@
             *extra_headers,
         )
         protocol = self._protocol
-        response = h11.Response(status_code=status, headers=list(reply_headers))
+        response = h11.Response(
+            status_code=status, headers=encode_headers(reply_headers)
+        )
         parts = [protocol.send(response)]
         if body:
             parts.append(protocol.send(h11.Data(body)))
@@ -268,10 +275,6 @@
         return ('x-response-stamp', digest[:STAMP_CHARACTER_COUNT])
 
 
-def _decode_headers(event: h11.Request) -> Headers:
-    return tuple((name.decode(), text.decode()) for name, text in event.headers)
-
-
 def _encode_raw(
     headers: Headers, status: int, body: bytes, *extra_headers: tuple[str, str]
 ) -> bytes:
--- a/standins/store.py
+++ b/standins/store.py
@@ -62,11 +62,7 @@
         self.request_count = 0
         self.page_item_count = DEFAULT_PAGE_ITEM_COUNT
         self.delay_seconds = 0.0
-        self.server = HttpServer(
-            self._handle_request,
-            refusal_reply,
-            Limits(body_bytes=MAX_VALUE_BYTES),
-        )
+        self.server = self._make_server()
         self._values: dict[str, tuple[bytes, int]] = {}
         self._frozen_state: tuple[dict[str, tuple[bytes, int]], int] | None = (
             None
@@ -75,6 +71,16 @@
         self._first_revision = 0
         self._changed = asyncio.Event()
 
+    async def move(self, address: str) -> None:
+        """Serve at another port, and no longer at the present one.
+
+        :param address: IP address to listen on.
+        """
+        former = self.server
+        self.server = self._make_server()
+        await self.server.start(address, 0)
+        await former.stop(0)
+
     def put(self, key: str, value: bytes) -> None:
         """Write a key.
 
@@ -107,6 +113,13 @@
         """Serve the latest state to readers again."""
         self._frozen_state = None
 
+    def _make_server(self) -> HttpServer:
+        return HttpServer(
+            self._handle_request,
+            refusal_reply,
+            Limits(body_bytes=MAX_VALUE_BYTES),
+        )
+
     def _record_event(self, key: str, value: bytes | None) -> None:
         self._events.append((self.revision, key, value))
         self._changed.set()
--- a/tests/bench/guarantees.feature
+++ b/tests/bench/guarantees.feature
@@ -33,6 +33,13 @@
       | everything | at-most-once | run status | reported as not run       |
       | draining   | idempotent   | draining   | started after its drain   |
 
+  Scenario: Cancelling an attempt that waits for a connection releases none
+    Given a target of a simulated instance, with 1 connection to it
+    When 3 requests are sent to it, and the 2 that wait are cancelled
+    Then 1 request is in flight to it
+    When a further request is sent to it
+    Then 1 request is in flight to it
+
   Scenario: The same seed gives the same day
     Then a day that is simulated again is the same
 
--- a/tests/decisions/booking.feature
+++ b/tests/decisions/booking.feature
@@ -37,5 +37,16 @@
       | written and reported as not run | not_run |
 
   Scenario: The table of booking ids is bounded and drops the oldest
-    When 10001 bookings are started
+    When 10001 bookings are started and end
     Then 10000 ids are recorded and the oldest is dropped
+
+  Scenario: The id of a booking in flight is never dropped
+    When a booking is started
+    And 10001 further bookings are started and end
+    Then the first id is still recorded as in flight
+
+  Scenario: No booking is sent while the table is full of bookings in flight
+    When 10000 bookings are started
+    Then a further booking is not sent
+    When one of them ends
+    Then a further booking is sent
--- a/tests/decisions/membership.feature
+++ b/tests/decisions/membership.feature
@@ -56,6 +56,17 @@
     When 3000 instances are reported gone
     Then at most 2048 entries are held, including "me"
 
+  Scenario: Names that peers state for themselves are not kept
+    When 3000 unknown names make contact
+    Then times of contact are held for at most 2 names
+
+  Scenario: An instance that restarts behind a clock set back is believed at once
+    Given "a" started at the time 5000000 by its clock
+    And "a" is reported gone by "me"
+    When "a" starts again 2400000 earlier by its clock
+    And "a" and "me" exchange their entries
+    Then "me" knows "a" to be alive with an incarnation above 5000000
+
   Scenario: Every instance is watched by others
     Given 30 instances that know each other
     Then each is watched by 4 others
--- a/tests/decisions/replicas.feature
+++ b/tests/decisions/replicas.feature
@@ -33,6 +33,21 @@
     When "a" replies in 40 ms, 1 times
     Then the next request goes to "a"
 
+  Scenario Outline: Pauses of one target: any response shows that it is over
+    Given targets in zones "a:near c:far"
+    When "a" did not respond for 150 ms
+    And 0.07 seconds pass at the targets
+    And "a" has a request in flight for 1 ms
+    Then target "a" seems stalled
+    When "a" <response>
+    Then target "a" does not seem stalled
+
+    Examples:
+      | response                    |
+      | responds with a failure     |
+      | sheds a request             |
+      | replies in 40 ms, 1 times   |
+
   Scenario: Pauses of one target: probes back off while it does not respond
     Given targets in zones "a:near c:far"
     When "a" did not respond for 150 ms
--- a/tests/decisions/sharded.feature
+++ b/tests/decisions/sharded.feature
@@ -18,6 +18,17 @@
     Then it is finished with 3 parts
     And attempt 3 was cancelled
 
+  Scenario: A retry that succeeds leaves no resource as missing
+    Given an idempotent request to 1 shards of 2 targets, of which 1 must reply
+    And no extra load is left
+    When it begins
+    And 60 ms pass
+    Then its first leg lacks extra load
+    When the attempts 1 are not sent
+    And the attempts 2 succeed
+    Then it is finished with 1 parts
+    And its first leg lacks nothing
+
   Scenario: With extra load left, a short time without a response is tolerated
     Given an idempotent request to 1 shards of 2 targets, of which 1 must reply
     And the first target of the shard has not responded for 60 ms
--- a/tests/decoders.feature
+++ b/tests/decoders.feature
@@ -10,6 +10,12 @@
       | peer messages  |
       | configuration  |
       | settings       |
+      | headers        |
+      | advice queries |
+      | store entries  |
+      | routes         |
+      | node settings  |
+      | responses      |
 
   Scenario Outline: Valid input with one part replaced
     Then the decoder of <what> accepts valid input with any part replaced or rejects it with its error code
@@ -19,6 +25,12 @@
       | peer messages |
       | configuration |
       | settings      |
+      | store entries |
+      | routes        |
+      | target lists  |
+
+  Scenario: Numbers in text are finite and within bounds
+    Then every number that is read from text is finite and within its bounds
 
   Scenario: Encoding and decoding a peer message
     Then every peer message is unchanged after encoding and decoding
--- a/tests/entry/requests.feature
+++ b/tests/entry/requests.feature
@@ -75,7 +75,8 @@
   Scenario: Answers are not mixed up when many requests are cancelled at random
     Given every target takes 0.002 seconds
     And operators allow 10 seconds for a read of "reservas"
-    When 1000 callers request one record each and 300 of them cancel
+    And the targets hold 1000 records
+    When 1000 callers request one record each, no two the same, and 300 of them cancel
     Then each of the others receives its own record or a refusal
     And no sub-request is in flight
     And no target ever had more than 40 connections
--- a/tests/forwarding/forward.feature
+++ b/tests/forwarding/forward.feature
@@ -50,6 +50,49 @@
       | fail     | 500    |
       | shed     | 503    |
 
+  Scenario Outline: A remaining time that is no number is counted, logged and ignored
+    Given a plain route to 1 targets
+    When a caller with the remaining time "<text>" requests "/one/x"
+    Then the answer has the status 200 and the body of a target
+    And the target was given at most the 2000 ms of the route
+    And 1 ignored header is counted, and nothing else went wrong
+
+    Examples:
+      | text       |
+      | nan        |
+      | inf        |
+      | 1e400      |
+      | -5         |
+      | ²          |
+      | 400 digits |
+      | empty      |
+
+  Scenario Outline: Any response of a target that did not respond ends its pause
+    Given a plain route to 1 targets
+    And all targets have the fault "<fault>"
+    And the target did not respond before
+    When a caller requests "/one/x"
+    Then the target is not expected to be paused
+
+    Examples:
+      | fault |
+      | none  |
+      | fail  |
+      | shed  |
+
+  Scenario: A header with bytes that are not ASCII is passed on unchanged
+    Given a plain route to 1 targets
+    When a caller sends a header of every byte from 128 to 255 with "/one/x"
+    Then the answer has the status 200 and the body of a target
+    And the target received these bytes
+
+  Scenario: A load that is no number is counted, logged and ignored
+    Given a plain route to 1 targets
+    And its targets report the load "²,1,1"
+    When a caller requests "/one/x"
+    Then the answer has the status 200 and the body of a target
+    And 1 ignored header is counted, and nothing else went wrong
+
   Scenario: A request that fails on one target is retried on another
     Given a plain route to 2 targets
     And one target has the fault "fail"
@@ -177,6 +220,17 @@
     And the operator publishes version 3
     Then the instance has version 3
 
+  Scenario: Changed settings name another address of the store
+    Given a plain route to 1 targets
+    When the store moves to another address and the settings name it
+    And the route moves to "/moved/"
+    Then the instance follows version 2
+
+  Scenario: An instance whose peers have no power is ready without them
+    Given a plain route to 1 targets
+    When a second instance starts whose only seed never responds
+    Then the second instance is ready without any contact
+
   Scenario: A draining target receives no new requests
     Given a plain route to 2 targets
     When one target is listed as draining
--- /dev/null
+++ b/tests/platform/numbers.feature
@@ -0,0 +1,98 @@
+Feature: Numbers in text from outside
+  Only ASCII digits with an optional fraction are numbers, within bounds.
+
+  Scenario Outline: Remaining time of a caller
+    Then the remaining time "<text>" is read as <seconds>
+
+    Examples:
+      | text                 | seconds |
+      | 600                  | 0.6     |
+      | 600.5                | 0.6005  |
+      | 0                    | 0       |
+      | nan                  | nothing |
+      | inf                  | nothing |
+      | 1e400                | nothing |
+      | -5                   | nothing |
+      | +5                   | nothing |
+      | 1_000                | nothing |
+      | ٣٠٠                  | nothing |
+      | 99999999999          | nothing |
+      | 400 digits           | nothing |
+      | empty                | nothing |
+
+  Scenario Outline: Load that a target reports
+    Then the load "<text>" is read as <load>
+
+    Examples:
+      | text        | load    |
+      | 2,1,4       | 2 1 4   |
+      | 2, 1, 0     | 2 1 1   |
+      | ²,1,1       | nothing |
+      | -1,0,4      | nothing |
+      | 1,2         | nothing |
+      | 1,2,x       | nothing |
+      | 9999999,0,1 | nothing |
+      | empty       | nothing |
+
+  Scenario Outline: Addresses
+    Then the address "<text>" is read as <address>
+
+    Examples:
+      | text            | address       |
+      | 10.0.0.1:80     | 10.0.0.1 80   |
+      | 10.0.0.1:0      | nothing       |
+      | 10.0.0.1:65536  | nothing       |
+      | 10.0.0.1:²      | nothing       |
+      | 10.0.0.1:400 digits | nothing   |
+      | 80              | nothing       |
+
+  Scenario: A URL that cannot be parsed is an unknown path
+    Then the URL "//[" asks for no advice
+
+  Scenario Outline: Settings of the process
+    Then the settings with the line "<line>" are refused at "<path>"
+
+    Examples:
+      | line                          | path                    |
+      | Bounds.RetryBudgetRatio=nan   | Bounds.RetryBudgetRatio |
+      | Bounds.GraceS=inf             | Bounds.GraceS           |
+      | Bounds.BudgetWindowS=-1       | Bounds.BudgetWindowS    |
+      | Limits.MaxFds=1e400           | Limits.MaxFds           |
+      | Listen.Front=10.0.0.1:70000   | Listen.Front            |
+      | InternalPorts=٧٧٤٠,7755       | InternalPorts           |
+
+  Scenario Outline: Entries of the store that are not usable
+    Then an entry with <field> <json> names no target
+
+    Examples:
+      | field      | json                   |
+      | Address    | "10.0.0.1:99999"       |
+      | Slots      | 0                      |
+      | Slots      | 1e400                  |
+      | ColdLeftMs | -1                     |
+      | ColdLeftMs | 1e300                  |
+      | Sequence   | 99999999999999999999   |
+      | born       | 1.5                    |
+
+  Scenario Outline: Routes that are not usable
+    Then a route with <field> <json> is not adopted
+
+    Examples:
+      | field           | json                         |
+      | TimeoutMs       | 1e300                        |
+      | TimeoutMs       | 1e400                        |
+      | TargetLatencyMs | 0                            |
+      | MaxAttempts     | 0                            |
+      | Split           | []                           |
+      | Gather          | []                           |
+      | MinPartShare    | 2                            |
+      | Priority        | 99999999999999999999         |
+
+  Scenario Outline: Idle timeout of a target
+    Then the idle timeout "<text>" is read as <seconds>
+
+    Examples:
+      | text           | seconds |
+      | timeout=5      | 5       |
+      | timeout=²      | nothing |
+      | timeout=400 digits | nothing |
--- a/tests/steps/booking.py
+++ b/tests/steps/booking.py
@@ -7,7 +7,7 @@
 from behave import then, when
 from behave.runner import Context
 
-from celeryturn.decisions.booking_table import IN_FLIGHT
+from celeryturn.decisions.booking_table import IN_FLIGHT, earlier_outcome
 from celeryturn.http.messages import HttpRequest
 from tests.support.world import until
 
@@ -125,11 +125,11 @@
 def expect_outcome(context: Context, booking_id: str) -> None:
     """Check that the outcome is kept after the caller disconnected."""
     instance = next(iter(context.world.applications.values())).instance
-    outcomes = instance.bookings.outcomes
+    bookings = instance.bookings
     context.loop.run_until_complete(
-        until(lambda: outcomes.get(booking_id) != IN_FLIGHT)
+        until(lambda: earlier_outcome(bookings, booking_id) != IN_FLIGHT)
     )
-    assert outcomes[booking_id] == 'booked', outcomes
+    assert earlier_outcome(bookings, booking_id) == 'booked'
 
 
 def _book(
--- a/tests/steps/decoders.py
+++ b/tests/steps/decoders.py
@@ -21,11 +21,17 @@
 from celeryturn.decisions.replicas import TargetEntry
 from celeryturn.entry.bodies import BookBody, SearchBody, read_body
 from celeryturn.errors import CeleryturnError
-from celeryturn.http.messages import HttpRequest
+from celeryturn import number_text
+from celeryturn.http.client import Connection
+from celeryturn.http.messages import HttpReply, HttpRequest
 from celeryturn.peers import messages
+from celeryturn.platform import documents, node_settings, wire
 from celeryturn.schema import decode
 from celeryturn.settings import parse_settings
 from tests.support.documents import raw_document
+from tests.support.entries import make_entry
+from tests.support.routed import plain_route
+from tests.support.store_values import VALID_ENTRY, valid_table
 
 EXAMPLES = int(os.environ.get('FUZZ_EXAMPLES', '150'))
 IS_SEEDED = 'FUZZ_EXAMPLES' not in os.environ
@@ -35,8 +41,10 @@
     st.none(),
     st.booleans(),
     st.integers(),
-    st.floats(allow_nan=False, allow_infinity=False),
+    st.floats(),
     st.text(max_size=20),
+    st.floats().map(str),
+    st.text('0123456789.eE+-²٣', max_size=20),
 )
 _any_value = st.recursive(
     _scalars,
@@ -74,12 +82,67 @@
     parse_settings(raw, 'generated')
 
 
+def _as_text(raw: object) -> str:
+    return raw.decode('latin-1') if isinstance(raw, bytes) else str(raw)
+
+
+def _as_json(raw: object) -> bytes:
+    return raw if isinstance(raw, bytes) else msgspec.json.encode(raw)
+
+
+def _read_headers(raw: object) -> None:
+    text = _as_text(raw)
+    names = ('x-deadline-remaining', 'x-server-load', 'x-attempt-id')
+    headers = tuple((name, text) for name in names)
+    request = HttpRequest('GET', '/', headers)
+    remaining_seconds = wire.read_remaining_seconds(request)
+    assert remaining_seconds is None or remaining_seconds >= 0
+    wire.target_request(request, 'target', remaining_seconds or 0)
+    wire.read_reply(HttpReply(200, headers))
+
+
+def _read_advice_query(raw: object) -> None:
+    request = HttpRequest('GET', f'/v1/resolve{_as_text(raw)}')
+    wire.read_requested_zone(request)
+    wire.is_readiness_request(request._replace(url=_as_text(raw)))
+
+
+def _read_entry(raw: object) -> None:
+    documents.decode_entry('target', _as_json(raw))
+
+
+def _read_table(raw: object) -> None:
+    documents.decode_table(_as_json(raw))
+
+
+def _read_node_settings(raw: object) -> None:
+    text = _as_text(raw)
+    names = ('Bounds.GraceS', 'Limits.MaxFds', 'InternalPorts', 'Seeds')
+    node_settings.parse_node_settings(
+        '\n'.join(f'{name}={text}' for name in names)
+    )
+
+
+def _read_response(raw: object) -> None:
+    connection = Connection('host')
+    reply = HttpReply(200, (('keep-alive', f'timeout={_as_text(raw)}'),))
+    connection._record_idle_timeout(reply)
+    assert connection.idle_seconds >= 0
+
+
 DECODERS: Mapping[str, Callable[[object], None]] = MappingProxyType(
     {
         'request bodies': _read_bodies,
         'peer messages': _read_message,
         'configuration': _read_document,
         'settings': _read_settings,
+        'headers': _read_headers,
+        'advice queries': _read_advice_query,
+        'store entries': _read_entry,
+        'routes': _read_table,
+        'node settings': _read_node_settings,
+        'responses': _read_response,
+        'target lists': _read_message,
     }
 )
 
@@ -127,7 +190,7 @@
         st.just('127.0.0.1'),
         st.integers(1, 65535),
         names,
-        numbers,
+        st.integers(1, 2**60),
         st.booleans(),
         st.floats(0, 60),
         numbers,
@@ -142,6 +205,29 @@
     )
 
 
+@then('every number that is read from text is finite and within its bounds')
+def try_numbers(context: Context) -> None:
+    """Read numbers from text and floats of every kind."""
+    texts = st.one_of(
+        st.text(max_size=30),
+        st.floats().map(str),
+        st.integers().map(str),
+        st.text('0123456789.eE+-²٣ ', max_size=30),
+    )
+
+    @_fuzz_settings
+    @given(texts, st.floats(0, 1e12), st.integers(0, 2**62))
+    def attempt(text: str, max_number: float, max_count: int) -> None:
+        number = number_text.read_decimal(text, max_number)
+        assert number is None or 0 <= number <= max_number, number
+        count = number_text.read_count(text, max_count)
+        assert count is None or 0 <= count <= max_count, count
+        port = number_text.read_port(text)
+        assert port is None or 1 <= port <= number_text.MAX_PORT, port
+
+    attempt()
+
+
 @then('every peer message is unchanged after encoding and decoding')
 def try_round_trip(context: Context) -> None:
     """Encode and decode messages of most types."""
@@ -157,7 +243,7 @@
     )
     counts = st.integers(0, 2**60)
     any_message = st.one_of(
-        st.builds(messages.Ping, st.floats(allow_nan=False), counts, counts),
+        st.builds(messages.Ping, st.floats(-1e12, 1e12), counts, counts),
         st.builds(messages.TableRequest, counts),
         st.builds(messages.Table, st.binary(max_size=50)),
         st.builds(messages.TargetListRequest, counts),
@@ -203,6 +289,13 @@
     if what == 'settings':
         path = Path('examples/settings-consorcio.yaml')
         return yaml.safe_load(path.read_text(encoding='utf-8'))
+    if what == 'store entries':
+        return dict(VALID_ENTRY)
+    if what == 'routes':
+        return valid_table(plain_route('s'))
+    if what == 'target lists':
+        update = EntryUpdate(1, True, (make_entry('t'),), ())
+        return cbor2.loads(messages.pack(messages.TargetList(update)))
     member = Member('i', '127.0.0.1', 1, 2, 'zone', 1, Status.ALIVE)
     return cbor2.loads(messages.pack(messages.Members((member,))))
 
--- a/tests/steps/forward.py
+++ b/tests/steps/forward.py
@@ -1,6 +1,7 @@
 """Steps on forwarding by published routes over real connections."""
 
 import asyncio
+import socket
 from collections.abc import Coroutine
 from typing import Any
 from unittest import mock
@@ -10,13 +11,16 @@
 from behave.runner import Context
 
 from celeryturn.decisions import directory
-from celeryturn.forwarding import store_watch
+from celeryturn.decisions.replicas import Replica
+from celeryturn.forwarding import app, shared_state, store_watch
 from celeryturn.forwarding.app import ForwardingApplication
 from celeryturn.forwarding.shared_state import SharedState, StoreProgress
-from celeryturn.http.messages import HttpReply, header
+from celeryturn.http.messages import HttpReply, HttpRequest, header
+from celeryturn.settings import Endpoint
 from standins.shard_target import Fault
 from standins.store import Mode
 from tests.support.routed import (
+    ADDRESS,
     RoutedWorld,
     caller_request,
     gather_route,
@@ -202,6 +206,125 @@
     context.replies = [_run(context, _world(context).send_request(request))]
 
 
+@when('a caller with the remaining time "{text}" requests "{path}"')
+def send_with_text(context: Context, text: str, path: str) -> None:
+    """Send one request whose remaining time is the given text."""
+    request = caller_request(path)
+    expanded = text.replace('empty', '').replace('400 digits', '9' * 400)
+    headers = tuple(
+        (name, expanded if name == 'x-deadline-remaining' else field)
+        for name, field in request.headers
+    )
+    request = request._replace(headers=headers)
+    context.replies = [_run(context, _world(context).send_request(request))]
+
+
+@given('the target did not respond before')
+def given_unresponsive(context: Context) -> None:
+    """Record that the only target did not respond to its last request."""
+    _only_replica(context).unanswered_count = 1
+
+
+@then('the target is not expected to be paused')
+def expect_not_paused(context: Context) -> None:
+    """Check the state that the instance keeps of the only target."""
+    assert not _only_replica(context).unanswered_count
+
+
+@when(
+    'a caller sends a header of every byte from {first:d} to {last:d} with'
+    ' "{path}"'
+)
+def send_bytes(context: Context, first: int, last: int, path: str) -> None:
+    """Send one request with a header that holds many bytes."""
+    request = caller_request(path)
+    context.sent_text = bytes(range(first, last + 1)).decode('latin-1')
+    headers = (*request.headers, ('x-note', context.sent_text))
+    request = request._replace(headers=headers)
+    context.replies = [_run(context, _world(context).send_request(request))]
+
+
+@then('the target received these bytes')
+def expect_bytes(context: Context) -> None:
+    """Check the header that the target received."""
+    target = next(iter(_world(context).targets.values()))
+    assert dict(target.received_headers[0])['x-note'] == context.sent_text
+
+
+@given('its targets report the load "{text}"')
+def given_load(context: Context, text: str) -> None:
+    """Set the load header of all targets."""
+    for target in _world(context).targets.values():
+        target.server_load = text
+
+
+@then('the target was given at most the {milliseconds:d} ms of the route')
+def expect_route_timeout(context: Context, milliseconds: int) -> None:
+    """Check the remaining time that the target received."""
+    target = next(iter(_world(context).targets.values()))
+    headers = dict(target.received_headers[0])
+    assert 1 <= int(headers['x-deadline-remaining']) <= milliseconds
+
+
+@then('{count:d} ignored header is counted, and nothing else went wrong')
+def expect_ignored_header(context: Context, count: int) -> None:
+    """Check the count in the metrics."""
+    application = _world(context).applications[0]
+    request = HttpRequest('GET', '/metrics')
+    reply = application.collectors.answer(application.shared, request)
+    assert f'celeryturn_headers_ignored {count}' in reply.body.decode()
+    assert not application.collectors.refusals.values
+
+
+@when('the store moves to another address and the settings name it')
+def move_store(context: Context) -> None:
+    """Listen at another port, close the former one, apply settings."""
+    world = _world(context)
+    application = world.applications[0]
+
+    async def move() -> None:
+        await world.store.move(ADDRESS)
+        settings = application.shared.settings
+        store = Endpoint(ADDRESS, world.store.server.port)
+        moved = settings.instance._replace(configuration=store, instances=store)
+        application.apply_settings(settings._replace(instance=moved))
+
+    _run(context, move())
+
+
+@then('the instance follows version {version:d}')
+def expect_followed_version(context: Context, version: int) -> None:
+    """Wait for a version of the routes."""
+    world = _world(context)
+    shared = world.applications[0].shared
+    _run(
+        context,
+        world.wait_for(lambda: shared_state.table_version(shared) == version),
+    )
+
+
+@when('a second instance starts whose only seed never responds')
+def start_without_peers(context: Context) -> None:
+    """Start an instance that only knows a port that accepts and is silent."""
+    world = _world(context)
+    silent = socket.create_server((ADDRESS, 0))
+    context.add_cleanup(silent.close)
+    seed = Endpoint(ADDRESS, silent.getsockname()[1])
+    patched = mock.patch.object(app, 'FIRST_PEER_WAIT_SECONDS', 3600)
+    patched.start()
+    context.add_cleanup(patched.stop)
+    _run(context, world.start_instance(seeds=(seed,)))
+
+
+@then('the second instance is ready without any contact')
+def expect_ready_alone(context: Context) -> None:
+    """Wait until the instance is ready."""
+    world = _world(context)
+    second = world.applications[1]
+    _run(context, world.wait_for(lambda: second.shared.instance.is_ready))
+    assert not second.network.first_contact.is_set()
+
+
 @when('a caller books at "{path}"')
 def send_booking(context: Context, path: str) -> None:
     """Send an at-most-once request."""
@@ -607,6 +730,11 @@
     )
 
 
+def _only_replica(context: Context) -> Replica:
+    shared = _world(context).applications[0].shared
+    return directory.serving_replicas(shared.directory, SERVICE)[0]
+
+
 async def _restart_following(application: ForwardingApplication) -> None:
     application.restart_watch()
 
--- a/tests/steps/guarantees.py
+++ b/tests/steps/guarantees.py
@@ -1,16 +1,20 @@
 """Steps for simulated days."""
 
 import math
+import random
 from typing import Any
 from unittest import mock
 
-from behave import then, when
+from behave import given, then, when
 from behave.runner import Context
 
 from bench.experiment import compute_figures
+from bench.model import instances
+from bench.model.clock import Clock
 from bench.model.days import Day, DayParameters, simulate
 from bench.model.guarantees import find_violations
 from bench.model.policies import CURRENT, POLICIES
+from bench.model.targets import ModelTarget, TargetParameters
 from celeryturn.decisions import sharded
 
 DAY_PARAMETERS = DayParameters(
@@ -22,6 +26,57 @@
 GUARDS = ('extra load', 'retries', 'run status', 'draining')
 
 
+@given('a target of a simulated instance, with {limit:d} connection to it')
+def make_model_instance(context: Context, limit: int) -> None:
+    """Make an instance with one service of one target."""
+    patched = mock.patch.object(instances, 'CONNECTION_LIMIT', limit)
+    patched.start()
+    context.add_cleanup(patched.stop)
+    clock = Clock()
+    target = ModelTarget(
+        clock, TargetParameters(), 'target', 'zone', random.Random(1)
+    )
+    world = instances.World(
+        clock=clock,
+        rng=random.Random(1),
+        services={'service': [target]},
+        policy=CURRENT,
+        instance_count=1,
+        on_extra=lambda name: None,
+        on_needed=lambda name: None,
+    )
+    context.model_instance = instances.ModelInstance(world, 'zone')
+    context.model_requests = []
+
+
+@when(
+    '{count:d} requests are sent to it, and the {cancelled_count:d} that wait'
+    ' are cancelled'
+)
+def send_and_cancel(context: Context, count: int, cancelled_count: int) -> None:
+    """Send requests at once and end the last ones early."""
+    for _ in range(count):
+        send_model_request(context)
+    for request in context.model_requests[-cancelled_count:]:
+        request.abandon()
+
+
+@when('a further request is sent to it')
+def send_model_request(context: Context) -> None:
+    """Start one request."""
+    kind = instances.RequestKind('read', ('service',), 1, 0.1, 1, 5)
+    context.model_requests.append(
+        context.model_instance.start_request(kind, len(context.model_requests))
+    )
+
+
+@then('{count:d} request is in flight to it')
+def expect_model_in_flight(context: Context, count: int) -> None:
+    """Check the number of requests that hold a connection."""
+    queue = context.model_instance.request_queue('target')
+    assert queue.in_flight == count, queue.in_flight
+
+
 @when('{count:d} days of "{pattern}" are simulated')
 def simulate_days(context: Context, count: int, pattern: str) -> None:
     """Simulate days."""
--- a/tests/steps/members.py
+++ b/tests/steps/members.py
@@ -117,6 +117,66 @@
     assert {name, 'a', 'b'} <= set(held)
 
 
+@when('{count:d} unknown names make contact')
+def contact_many(context: Context, count: int) -> None:
+    """Record contacts with names that have no entry."""
+    for number in range(count):
+        membership.record_contact(
+            context.members, f'x-{number}', context.now_seconds
+        )
+    membership.record_contact(context.members, 'a', context.now_seconds)
+
+
+@then('times of contact are held for at most {max_count:d} names')
+def expect_contact_bound(context: Context, max_count: int) -> None:
+    """Check that only members have a time of contact."""
+    held = context.members.last_contact_seconds
+    assert 'a' in held
+    assert len(held) <= max_count, len(held)
+
+
+@given('"{name}" started at the time {time_ms:d} by its clock')
+def start_at(context: Context, name: str, time_ms: int) -> None:
+    """Let the entry of an instance be known with its first incarnation."""
+    entry = _member(name)._replace(incarnation=time_ms)
+    membership.merge_entries(context.members, [entry], context.now_seconds)
+
+
+@given('"{name}" is reported gone by "me"')
+def report_gone(context: Context, name: str) -> None:
+    """Let the instance be known as gone."""
+    known = context.members.members[name]
+    gone = known._replace(status=Status.GONE)
+    membership.merge_entries(context.members, [gone], context.now_seconds)
+
+
+@when('"{name}" starts again {back_ms:d} earlier by its clock')
+def start_earlier(context: Context, name: str, back_ms: int) -> None:
+    """Start an instance with a lower incarnation than before."""
+    first = context.members.members[name].incarnation
+    entry = _member(name)._replace(incarnation=first - back_ms)
+    context.restarted = membership.Membership(entry, context.now_seconds)
+
+
+@when('"{name}" and "me" exchange their entries')
+def exchange_entries(context: Context, name: str) -> None:
+    """Exchange all entries on a new link, then the changes."""
+    now_seconds = context.now_seconds
+    sent = tuple(context.restarted.members.values())
+    received = tuple(context.members.members.values())
+    membership.merge_entries(context.members, sent, now_seconds)
+    changed = membership.merge_entries(context.restarted, received, now_seconds)
+    membership.merge_entries(context.members, changed, now_seconds)
+
+
+@then('"me" knows "{name}" to be alive with an incarnation above {time_ms:d}')
+def expect_believed(context: Context, name: str, time_ms: int) -> None:
+    """Check that the restarted instance is known as alive."""
+    member = context.members.members[name]
+    assert member.status is Status.ALIVE, member
+    assert member.incarnation > time_ms, member
+
+
 @given('{count:d} instances that know each other')
 def make_known_instances(context: Context, count: int) -> None:
     """Make membership tables of the same content, one per instance."""
--- /dev/null
+++ b/tests/steps/numbers.py
@@ -0,0 +1,135 @@
+"""Steps on numbers in text from outside."""
+
+import math
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+from behave import then
+from behave.runner import Context
+
+from celeryturn.errors import CeleryturnError
+from celeryturn.http.client import Connection
+from celeryturn.http.messages import HttpReply, HttpRequest
+from celeryturn.platform import documents, node_settings, wire
+from tests.support.routed import plain_route
+from tests.support.store_values import VALID_ENTRY, valid_table
+
+NOTHING = 'nothing'
+VALID_SETTINGS = """
+NodeName=front-1
+Ip=10.0.0.1
+Zone=z
+Region=r
+Listen.Front=10.0.0.1:8226
+Listen.Ready=10.0.0.1:8227
+Listen.Control=10.0.0.1:8224
+Listen.directory=10.0.0.1:8225
+InternalPorts=7740,7755
+platform.Address=10.0.0.9:8229
+"""
+
+
+def _expand(text: str) -> str:
+    return text.replace('empty', '').replace('400 digits', '9' * 400)
+
+
+@then('the remaining time "{text}" is read as {seconds}')
+def expect_remaining(context: Context, text: str, seconds: str) -> None:
+    """Check what is read from the header of a caller."""
+    headers = (('x-deadline-remaining', _expand(text)),)
+    remaining_seconds = wire.read_remaining_seconds(
+        HttpRequest('GET', '/', headers)
+    )
+    expected = None if seconds == NOTHING else float(seconds)
+    assert remaining_seconds == expected, remaining_seconds
+
+
+@then('the load "{text}" is read as {load}')
+def expect_load(context: Context, text: str, load: str) -> None:
+    """Check what is read from the header of a target."""
+    reply = HttpReply(200, (('x-server-load', _expand(text)),))
+    figures = wire.read_reply(reply).load
+    expected = (
+        None
+        if load == NOTHING
+        else tuple(int(figure) for figure in load.split())
+    )
+    assert figures == expected, figures
+    is_ignored = wire.ignored_load_text(reply) is not None
+    assert is_ignored, 'a header that is there is reported'
+
+
+@then('the address "{text}" is read as {address}')
+def expect_address(context: Context, text: str, address: str) -> None:
+    """Check what is read from an address."""
+    endpoint = node_settings.parse_endpoint(_expand(text))
+    if address == NOTHING:
+        assert endpoint is None, endpoint
+    else:
+        assert endpoint is not None
+        assert f'{endpoint.address} {endpoint.port}' == address
+
+
+@then('the URL "{url}" asks for no advice')
+def expect_no_advice(context: Context, url: str) -> None:
+    """Check that a URL that cannot be parsed raises nothing."""
+    request = HttpRequest('GET', url)
+    assert wire.read_requested_zone(request) is None
+    assert not wire.is_readiness_request(request)
+
+
+@then('the settings with the line "{line}" are refused at "{path}"')
+def expect_refused_settings(context: Context, line: str, path: str) -> None:
+    """Check that valid settings become invalid by one more line."""
+    node_settings.parse_node_settings(VALID_SETTINGS)
+    try:
+        node_settings.parse_node_settings(f'{VALID_SETTINGS}{line}\n')
+    except CeleryturnError as error:
+        assert [fault.path for fault in error.faults] == [path], error
+    else:
+        raise AssertionError(f'{line} was accepted')
+
+
+@then('an entry with {field:w} {text} names no target')
+def expect_no_target(context: Context, field: str, text: str) -> None:
+    """Check that a valid entry becomes invalid by one field."""
+    documents.decode_entry('t', msgspec.json.encode(dict(VALID_ENTRY)))
+    entry = _encode_with(VALID_ENTRY, field, text)
+    _expect_invalid(lambda: documents.decode_entry('t', entry))
+
+
+@then('a route with {field:w} {text} is not adopted')
+def expect_no_route(context: Context, field: str, text: str) -> None:
+    """Check that a valid table becomes invalid by one field of a route."""
+    route = plain_route('s')
+    documents.decode_table(_encode_table(msgspec.json.encode(route)))
+    table = _encode_table(_encode_with(route, field, text))
+    _expect_invalid(lambda: documents.decode_table(table))
+
+
+@then('the idle timeout "{text}" is read as {seconds}')
+def expect_idle_timeout(context: Context, text: str, seconds: str) -> None:
+    """Check what is read from the header of a reply."""
+    connection = Connection('host')
+    reply = HttpReply(200, (('keep-alive', _expand(text)),))
+    connection._record_idle_timeout(reply)
+    expected = math.inf if seconds == NOTHING else float(seconds)
+    assert connection.idle_seconds == expected, connection.idle_seconds
+
+
+def _encode_with(fields: Mapping[str, Any], field: str, text: str) -> bytes:
+    return msgspec.json.encode({**fields, field: msgspec.Raw(text.encode())})
+
+
+def _encode_table(route: bytes) -> bytes:
+    return msgspec.json.encode(valid_table(msgspec.Raw(route)))
+
+
+def _expect_invalid(decode: Any) -> None:
+    try:
+        decoded = decode()
+    except CeleryturnError as error:
+        assert error.answer.code == 'CT-502', error
+    else:
+        raise AssertionError(f'{decoded} was accepted')
--- a/tests/steps/replicas.py
+++ b/tests/steps/replicas.py
@@ -67,6 +67,27 @@
         replicas.observe_failure(context.known[name], context.now_seconds)
 
 
+@when('"{name}" responds with a failure')
+@when('"{name}" sheds a request')
+def respond_badly(context: Context, name: str) -> None:
+    """Record a response that is not a success, with a request in flight."""
+    replicas.observe_response(context.known[name], context.now_seconds)
+    replicas.observe_failure(context.known[name], context.now_seconds)
+
+
+@then('target "{name}" seems stalled')
+def expect_stalled(context: Context, name: str) -> None:
+    """Check that a target seems to be stalled."""
+    assert _is_stalled(context, name)
+
+
+@then('target "{name}" does not seem stalled')
+def expect_not_stalled(context: Context, name: str) -> None:
+    """Check that a target with a request in flight is used again."""
+    context.known[name].pending[2] = context.now_seconds
+    assert not _is_stalled(context, name)
+
+
 @when('no connection to "{name}" can be opened')
 def refuse_connection(context: Context, name: str) -> None:
     """Record a refused connection."""
@@ -154,3 +175,9 @@
         for _ in range(200)
     ]
     return {replica.entry.target if replica else None for replica in chosen}
+
+
+def _is_stalled(context: Context, name: str) -> bool:
+    return replicas.is_stalled(
+        context.known[name], EXPECTED_LATENCY, context.now_seconds
+    )
--- a/tests/steps/requests.py
+++ b/tests/steps/requests.py
@@ -9,10 +9,12 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from celeryturn.decisions.document import Index, shard_of
+from celeryturn.decisions.messages import Record
 from celeryturn.http.client import Connection
 from celeryturn.http.messages import HttpReply, HttpRequest
 from celeryturn.instance import Instance
-from standins.topology import RECORDS_PER_SITE, SITES_PER_SHARD
+from celeryturn.schema import decode
 from tests.support.world import WAIT_SECONDS, World, until
 
 SEED = 11
@@ -24,6 +26,27 @@
     _server(context).limits.request_seconds = seconds
 
 
+@given('the targets hold {count:d} records')
+def add_records(context: Context, count: int) -> None:
+    """Add records with different keys to the only service."""
+    dataset = next(iter(context.world.datasets.values()))
+    document = context.world.documents[dataset.service]
+    index = decode(Index, document['indexes'][0]).parsed
+    assert index is not None
+    context.record_keys = [f'many-{number:04}/0' for number in range(count)]
+    for key in context.record_keys:
+        shard_records = dataset.records[1][shard_of(index, key)]
+        shard_records.append(
+            Record(
+                key=key,
+                schema_version=1,
+                starts_at_seconds=0,
+                free_count=1,
+                text='a record',
+            )
+        )
+
+
 @when('a caller posts json {body} to {path}')
 def post(context: Context, body: str, path: str) -> None:
     """Send a body unchanged."""
@@ -238,8 +261,8 @@
 
 
 @when(
-    '{count:d} callers request one record each and {cancelled_count:d} of '
-    'them cancel'
+    '{count:d} callers request one record each, no two the same, and '
+    '{cancelled_count:d} of them cancel'
 )
 def send_many_record_requests(
     context: Context, count: int, cancelled_count: int
@@ -256,13 +279,16 @@
 def expect_own_records(context: Context) -> None:
     """Check that no answer is mixed up and more than half were served."""
     served_count = 0
-    for key, reply in context.own_replies.items():
+    for number, reply in context.own_replies.items():
         answer = msgspec.json.decode(reply.body)
         if reply.status == 200:
             served_count += 1
-            assert [record['key'] for record in answer['records']] == [key]
+            keys = [record['key'] for record in answer['records']]
+            assert keys == [context.own_keys[number]], (number, keys)
         else:
             assert 'error' in answer
+    others_count = len(context.own_keys) - context.cancelled_count
+    assert len(context.own_replies) >= others_count, len(context.own_replies)
     assert served_count > len(context.own_replies) / 2, served_count
 
 
@@ -364,10 +390,10 @@
     context: Context, count: int, cancelled_numbers: set[int]
 ) -> None:
     world = context.world
-    keys = [
-        f'site-{number % (4 * SITES_PER_SHARD):04}/{number % RECORDS_PER_SITE}'
-        for number in range(count)
-    ]
+    keys = context.record_keys[:count]
+    assert len(set(keys)) == count, 'each caller needs a key of its own'
+    context.own_keys = keys
+    context.cancelled_count = len(cancelled_numbers)
     generator = random.Random(SEED)
     tasks = [
         asyncio.create_task(
@@ -383,7 +409,7 @@
     context.own_replies = {}
     for number, reply in enumerate(replies):
         if isinstance(reply, HttpReply):
-            context.own_replies[keys[number]] = reply
+            context.own_replies[number] = reply
         else:
             assert number in cancelled_numbers, reply
 
--- a/tests/steps/sharded.py
+++ b/tests/steps/sharded.py
@@ -168,6 +168,19 @@
     assert lateness == [False, True], lateness
 
 
+@then('its first leg lacks extra load')
+def expect_lack(context: Context) -> None:
+    """Check the reason why no hedge was sent."""
+    missing_resource = context.request.legs[0].missing_resource
+    assert missing_resource is legs.MissingResource.EXTRA_LOAD
+
+
+@then('its first leg lacks nothing')
+def expect_no_lack(context: Context) -> None:
+    """Check that no missing resource is recorded."""
+    assert context.request.legs[0].missing_resource is None
+
+
 @then('it is not finished')
 def expect_unfinished(context: Context) -> None:
     """Check that the request has not ended."""
--- a/tests/steps/writes.py
+++ b/tests/steps/writes.py
@@ -126,19 +126,70 @@
     """Record the start of many bookings."""
     context.recorded_bookings = booking_table.BookingTable()
     for number in range(count):
-        booking_table.begin(context.recorded_bookings, f'b-{number}')
+        assert booking_table.begin(context.recorded_bookings, f'b-{number}')
+
+
+@when('{count:d} bookings are started and end')
+def run_many(context: Context, count: int) -> None:
+    """Record the start and the end of many bookings."""
+    context.recorded_bookings = booking_table.BookingTable()
+    _run_bookings(context, count)
+
+
+@when('a booking is started')
+def start_one(context: Context) -> None:
+    """Record the start of one booking."""
+    context.recorded_bookings = booking_table.BookingTable()
+    assert booking_table.begin(context.recorded_bookings, 'first')
+
+
+@when('{count:d} further bookings are started and end')
+def run_further(context: Context, count: int) -> None:
+    """Record the start and the end of many further bookings."""
+    _run_bookings(context, count)
+
+
+@when('one of them ends')
+def end_one(context: Context) -> None:
+    """Record the outcome of the first booking."""
+    booking_table.finish(context.recorded_bookings, 'b-0', 'booked')
 
 
 @then('{count:d} ids are recorded and the oldest is dropped')
 def expect_table_size(context: Context, count: int) -> None:
     """Check the size of the table, its oldest id and its newest id."""
-    assert len(context.recorded_bookings.outcomes) == count
-    assert (
-        booking_table.earlier_outcome(context.recorded_bookings, 'b-0') is None
-    )
-    assert booking_table.earlier_outcome(
-        context.recorded_bookings, f'b-{count}'
-    )
+    recorded = context.recorded_bookings
+    assert booking_table.count(recorded) == count
+    assert booking_table.earlier_outcome(recorded, 'b-0') is None
+    newest = booking_table.earlier_outcome(recorded, f'b-{count}')
+    assert newest == 'booked', newest
+
+
+@then('the first id is still recorded as in flight')
+def expect_in_flight_kept(context: Context) -> None:
+    """Check that the booking in flight cannot be sent again."""
+    outcome = booking_table.earlier_outcome(context.recorded_bookings, 'first')
+    assert outcome == booking_table.IN_FLIGHT, outcome
+
+
+@then('a further booking is not sent')
+def expect_not_begun(context: Context) -> None:
+    """Check that a booking that could not be recorded is not sent."""
+    recorded = context.recorded_bookings
+    assert not booking_table.begin(recorded, 'further')
+    assert booking_table.earlier_outcome(recorded, 'further') is None
+
+
+@then('a further booking is sent')
+def expect_begun(context: Context) -> None:
+    """Check that there is room for one more booking."""
+    assert booking_table.begin(context.recorded_bookings, 'further')
+
+
+def _run_bookings(context: Context, count: int) -> None:
+    for number in range(count):
+        assert booking_table.begin(context.recorded_bookings, f'b-{number}')
+        booking_table.finish(context.recorded_bookings, f'b-{number}', 'booked')
 
 
 def _set_home(context: Context, home: Home) -> None:
--- a/tests/support/routed.py
+++ b/tests/support/routed.py
@@ -95,7 +95,9 @@
         }
         self.store.put('op/config', msgspec.json.encode(self.config))
 
-    async def start_instance(self, **grace: float) -> ForwardingApplication:
+    async def start_instance(
+        self, seeds: tuple[Endpoint, ...] | None = None, **grace: float
+    ) -> ForwardingApplication:
         """Start an instance whose seeds are the instances started before."""
         callers, peers, ready, directory, metrics = (
             Endpoint(ADDRESS, port) for port in find_free_ports(PORT_COUNT)
@@ -115,10 +117,7 @@
             ready=ready,
             directory=directory,
             metrics=metrics,
-            seeds=tuple(
-                application.shared.settings.instance.peers
-                for application in self.applications
-            ),
+            seeds=self._peer_endpoints() if seeds is None else seeds,
             max_connection_count=1000,
             extra_load=ExtraLoadBounds(),
             grace=Grace(
@@ -176,6 +175,12 @@
         await self.store.server.stop(0)
         await asyncio.gather(*self._run_tasks, return_exceptions=True)
 
+    def _peer_endpoints(self) -> tuple[Endpoint, ...]:
+        return tuple(
+            application.shared.settings.instance.peers
+            for application in self.applications
+        )
+
 
 def plain_route(service: str, prefix: str = '/one/', **fields: Any) -> Any:
     """Build a route to one service."""
