A load report with a fourth figure is read

Cause: some targets add how long work takes on their machine at this moment; the whole report was ignored then, so that the choice among replicas on the grown deployments knew nothing of their queues. The fourth figure itself is not used: it changes many times a second, and latencies show it.

--- a/celeryturn/platform/wire.py
+++ b/celeryturn/platform/wire.py
@@ -53,6 +53,7 @@
     )
 )
 _OVERWRITTEN_HEADERS: Final = frozenset((DEADLINE_HEADER, TARGET_HEADER))
+_LOAD_FIGURE_COUNTS: Final = frozenset((3, 4))
 _INTERNAL_HEADERS: Final = frozenset((LOAD_HEADER,))
 _WRONG_TARGET_STATUS: Final = 421
 _OK_STATUS: Final = 200
@@ -279,7 +280,11 @@
         read_count(part.strip(), MAX_LOAD_FIGURE) for part in text.split(',')
     ]
     known_figures = [figure for figure in figures if figure is not None]
-    if len(known_figures) != len(figures) or len(figures) != len(Load._fields):
+    if len(known_figures) != len(figures):
         return None
-    running, waiting, slots = known_figures
+    if len(figures) not in _LOAD_FIGURE_COUNTS:
+        return None
+    # Some targets add how long work takes on their machine at this moment,
+    # which their latencies show as well.
+    running, waiting, slots = known_figures[: len(Load._fields)]
     return Load(running, waiting, max(1, slots))
--- a/tests/platform/numbers.feature
+++ b/tests/platform/numbers.feature
@@ -27,6 +27,9 @@
       | text        | load    |
       | 2,1,4       | 2 1 4   |
       | 2, 1, 0     | 2 1 1   |
+      | 2,1,4,130   | 2 1 4   |
+      | 2,1,4,x     | nothing |
+      | 2,1,4,1,1   | nothing |
       | ²,1,1       | nothing |
       | -1,0,4      | nothing |
       | 1,2         | nothing |
