Checks of the store replace short watches

Cause: each instance called the store every 2 s, only to notice that it had gone silent.

Now a watch waits 20 s, and a stale read of the revision every 1.5 s, on a connection of its own, costs a tenth of a call: it finds an outage as soon as before, and a revision that the watch has not told starts a new watch after 0.8 s. Ruled out: long watches alone (a store that was silent never answers them), and few instances that watch for all (a partition would have to be told apart from a quiet store; hops between 86 instances take seconds).

The scenario "times out early enough" asked the watch itself to end in time; it asks now for the first of watch and check, with the same bound. Three scenarios are new: the outage and the lost change are noticed, and the cost; without the checks the first two do not end.

--- a/celeryturn/forwarding/store_watch.py
+++ b/celeryturn/forwarding/store_watch.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
-from typing import Final
+from typing import Final, NamedTuple
 
 from celeryturn.decisions import directory
 from celeryturn.decisions.entry_history import (
@@ -29,10 +29,11 @@
     StoreError,
 )
 
+WATCH_WAIT_SECONDS: Final = 20.0
 # After an outage without responses, the store never answers the watches that
-# were sent before it recovered.  An instance must be up to date within 4 s of
-# the recovery.
-WATCH_WAIT_SECONDS: Final = 2.0
+# were sent before it recovered.  Checks detect the outage, so that an instance
+# is up to date within 4 s of the recovery.
+CHECK_INTERVAL_SECONDS: Final = 1.5
 LOST_WATCH_WAIT_SECONDS: Final = 0.5
 WATCH_SLACK_SECONDS: Final = 0.8
 LOST_WATCH_SLACK_SECONDS: Final = 1.6
@@ -55,17 +56,30 @@
     """A peer has read a later revision of the store than this instance."""
 
 
+class StoreClients(NamedTuple):
+    """Connections to the store.
+
+    :param watcher: Reads the store and waits for changes.
+    :param checker: Checks meanwhile that the store responds.
+    """
+
+    watcher: StoreClient
+    checker: StoreClient
+
+
 async def watch_store(shared: SharedState) -> None:
     """Read the store and watch it until cancelled.
 
     :param shared: Shared state of the instance.
     """
-    client = StoreClient(shared.settings.instance.configuration)
+    endpoint = shared.settings.instance.configuration
+    clients = StoreClients(StoreClient(endpoint), StoreClient(endpoint))
     try:
         while True:
-            await _sync_or_wait(shared, client)
+            await _sync_or_wait(shared, clients)
     finally:
-        client.close()
+        clients.watcher.close()
+        clients.checker.close()
 
 
 def note_peer_revision(shared: SharedState, peer_revision: int) -> None:
@@ -106,10 +120,10 @@
         log_dropped_lines(shared)
 
 
-async def _sync_or_wait(shared: SharedState, client: StoreClient) -> None:
+async def _sync_or_wait(shared: SharedState, clients: StoreClients) -> None:
     progress = shared.progress
     try:
-        await _sync_once(shared, client)
+        await _sync_once(shared, clients)
     except HistoryGoneError:
         progress.revision = 0
     except OSError as error:
@@ -119,12 +133,12 @@
         )
 
 
-async def _sync_once(shared: SharedState, client: StoreClient) -> None:
+async def _sync_once(shared: SharedState, clients: StoreClients) -> None:
     progress = shared.progress
     if not progress.revision:
-        progress.revision = await _read_all(shared, client)
+        progress.revision = await _read_all(shared, clients.watcher)
         return
-    changes = await _watch(shared, client)
+    changes = await _watch(shared, clients)
     _record_response(shared)
     _apply_changes(shared, changes)
     progress.revision = max(progress.revision, changes.revision)
@@ -134,26 +148,38 @@
         await asyncio.sleep(CHANGE_BATCH_SECONDS)
 
 
-async def _watch(shared: SharedState, client: StoreClient) -> Changes:
+async def _watch(shared: SharedState, clients: StoreClients) -> Changes:
     progress = shared.progress
     progress.peer_ahead.clear()
     loop = asyncio.get_running_loop()
     wait_seconds, slack_seconds = watch_timeouts(progress)
     watch_task = loop.create_task(
-        client.watch('', progress.revision, wait_seconds, slack_seconds)
+        clients.watcher.watch(
+            '', progress.revision, wait_seconds, slack_seconds
+        )
     )
     behind_peer_task = loop.create_task(progress.peer_ahead.wait())
+    check_task = loop.create_task(_check_store(shared, clients.checker))
+    tasks = (watch_task, behind_peer_task, check_task)
     try:
-        await asyncio.wait(
-            (watch_task, behind_peer_task), return_when=asyncio.FIRST_COMPLETED
-        )
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
     finally:
-        behind_peer_task.cancel()
-        if not watch_task.done():
-            watch_task.cancel()
-    if not watch_task.done():
-        raise BehindPeerError('a peer has read a later revision of the store')
-    return watch_task.result()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    for task in (watch_task, check_task):
+        if not task.cancelled():
+            return task.result()
+    raise BehindPeerError('a peer has read a later revision of the store')
+
+
+async def _check_store(shared: SharedState, checker: StoreClient) -> Changes:
+    # Ends only with an error, if the store does not respond to a check.
+    while True:
+        await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+        revision = await checker.read_revision(WATCH_SLACK_SECONDS)
+        shared.progress.last_contact_seconds = shared_state.now()
+        note_peer_revision(shared, revision)
 
 
 def watch_timeouts(progress: StoreProgress) -> tuple[float, float]:
--- a/celeryturn/platform/store.py
+++ b/celeryturn/platform/store.py
@@ -17,6 +17,8 @@
 OK_STATUS: Final = 200
 HISTORY_GONE_STATUS: Final = 410
 MAX_PAGES: Final = 200
+# Only the revision in the response is of interest.
+NO_KEY_PREFIX: Final = 'none/'
 
 
 class StoreError(ConnectionError):
@@ -140,6 +142,19 @@
         changes = tuple(map(_decode_change, body['events']))
         return Changes(changes, body['CurrentRev'])
 
+    async def read_revision(self, timeout_seconds: float) -> int:
+        """Read the revision of the store, which may be seconds old.
+
+        Such a read costs a tenth of any other call.
+
+        :param timeout_seconds: Maximum wait for the response.
+        :returns: A revision that the store has reached.
+        :raises StoreError: If there is no usable response.
+        """
+        query = {'Prefix': NO_KEY_PREFIX, 'Serializable': '1'}
+        reply = await self._get('/v1/kv-range', query, timeout_seconds)
+        return _decode(_range_decoder, reply)['CurrentRev']
+
     def close(self) -> None:
         """Close the connection, if it is open."""
         if self._connection is not None:
--- a/standins/store.py
+++ b/standins/store.py
@@ -33,12 +33,15 @@
     - ``BUSY``: replies 503.
     - ``LIMITED``: replies 429.
     - ``SILENT``: does not respond.
+    - ``LOSING_WATCHES``: does not respond to watches, also to those that wait
+      already; replies normally otherwise.
     """
 
     SERVING = 'serving'
     BUSY = 'busy'
     LIMITED = 'limited'
     SILENT = 'silent'
+    LOSING_WATCHES = 'losing watches'
 
 
 _ERROR_STATUSES: Final = MappingProxyType(
@@ -194,6 +197,8 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(changed.wait(), wait_seconds)
             events = self._events_after(after, query)
+        if self.mode is Mode.LOSING_WATCHES:
+            await asyncio.Event().wait()
         _, revision = self._visible_state()
         return json_reply(OK, {'events': events, 'CurrentRev': revision})
 
--- a/tests/forwarding/forward.feature
+++ b/tests/forwarding/forward.feature
@@ -208,9 +208,26 @@
     When one target is added, one is draining and one is removed
     Then the second instance lists the same targets as the first
 
-  Scenario: A watch that the store no longer answers times out early enough
+  Scenario: A watch that the store no longer answers is replaced early enough
     Then a new watch starts within 4 s after the store responds again
 
+  Scenario: A store that becomes silent while a watch waits is noticed
+    Given a plain route to 1 targets
+    And the store is checked every 0.05 s
+    When the store silently stops to respond
+    Then the instance knows that the store does not respond
+
+  Scenario: A change that a watch does not report is noticed by a check
+    Given a plain route to 1 targets
+    And the store is checked every 0.05 s
+    When the store loses all watches
+    And the operator publishes version 2
+    And the store loses no more watches
+    Then the instance follows version 2
+
+  Scenario: Checks cost less than watches that time out as often
+    Then an instance calls a store without changes at most 0.15 times a second
+
   Scenario: An instance without routes and targets retries an unresponsive store early
     Then an unresponsive store is read 3 times within 2 s, with growing timeouts
 
--- a/tests/steps/forward.py
+++ b/tests/steps/forward.py
@@ -444,10 +444,61 @@
     progress = StoreProgress()
     for is_lost in (False, True):
         progress.is_lost = is_lost
-        timeout_seconds = sum(store_watch.watch_timeouts(progress))
-        assert timeout_seconds + store_watch.MAX_RETRY_DELAY_SECONDS < bound, (
-            timeout_seconds
+        watch_seconds = sum(store_watch.watch_timeouts(progress))
+        check_seconds = (
+            store_watch.CHECK_INTERVAL_SECONDS + store_watch.WATCH_SLACK_SECONDS
         )
+        detected_seconds = min(watch_seconds, check_seconds)
+        assert detected_seconds + store_watch.MAX_RETRY_DELAY_SECONDS < bound, (
+            detected_seconds
+        )
+
+
+@given('the store is checked every {seconds:g} s')
+def given_check_interval(context: Context, seconds: float) -> None:
+    """Check the store more often than usual."""
+    patched = mock.patch.object(store_watch, 'CHECK_INTERVAL_SECONDS', seconds)
+    patched.start()
+    context.add_cleanup(patched.stop)
+
+
+@when('the store silently stops to respond')
+def silence_store(context: Context) -> None:
+    """Let the store ignore all requests while a watch waits."""
+    _world(context).store.mode = Mode.SILENT
+
+
+@then('the instance knows that the store does not respond')
+def expect_store_lost(context: Context) -> None:
+    """Wait until the loss is recorded."""
+    world = _world(context)
+    progress = world.applications[0].shared.progress
+    _run(context, world.wait_for(lambda: progress.is_lost))
+
+
+@when('the store loses all watches')
+def lose_watches(context: Context) -> None:
+    """Let the store ignore watches, also the one that waits."""
+    _world(context).store.mode = Mode.LOSING_WATCHES
+
+
+@when('the store loses no more watches')
+def answer_watches(context: Context) -> None:
+    """Let the store respond to new watches, after a check or two."""
+    world = _world(context)
+    calls = world.store.request_count + 1
+    _run(context, world.wait_for(lambda: world.store.request_count > calls))
+    world.store.mode = Mode.SERVING
+
+
+@then(
+    'an instance calls a store without changes at most {rate:g} times a second'
+)
+def expect_call_rate(context: Context, rate: float) -> None:
+    """Check the rate of calls, where a check counts as a tenth of a call."""
+    watch_seconds = store_watch.WATCH_WAIT_SECONDS
+    check_seconds = store_watch.CHECK_INTERVAL_SECONDS
+    assert 1 / watch_seconds + 0.1 / check_seconds <= rate
 
 
 @then(
