Callers use the large machines of a fleet on unequal ones

Callers were spread over all of them. A small machine needs tens of milliseconds to gather 36 parts; each of 86 instances holds 1.1 tokens for extra requests and sees a request a second, so that it learns late which targets are slow; 172 connections to a target that accepts 75 are reset.

Now instances gossip the capacity of their machine (from its cores and its link), and callers are advised of the instances of their zone with at least half of the largest capacity there. These share connections and extra load among themselves; the others keep the least. An instance that sends more than half of its capacity says that it is busy, for 30 s at least; with fewer than two large instances that are not busy, all of the zone are advised again. On machines of one size nothing changes. Sharing is determined four times a second, not at each send.

--- /dev/null
+++ b/celeryturn/decisions/fleet_share.py
@@ -0,0 +1,100 @@
+"""Share of one instance in the limits of the targets.
+
+The connections that a target accepts and the extra load on it are shared by
+the instances that send it requests.
+"""
+
+import math
+from typing import Final, NamedTuple
+
+from celeryturn.decisions.advice import preferred_members
+from celeryturn.decisions.busyness import Busyness
+from celeryturn.decisions.extra_load import (
+    DEFAULT_FLEET_COUNT,
+    ExtraLoadBucket,
+)
+from celeryturn.decisions.membership import (
+    COUNTED_STATUSES,
+    Membership,
+    live_count,
+)
+
+REFRESH_SECONDS: Final = 0.25
+
+
+class Sharing(NamedTuple):
+    """Instances that share the limits of the targets with this one.
+
+    :param zones: Availability zone of each of them, including this one.
+    :param fleet_count: Number of instances to divide the extra load by.
+    """
+
+    zones: tuple[str, ...]
+    fleet_count: int
+
+
+class FleetShare:
+    """Share of one instance in the limits of the targets.
+
+    :param buckets: Token buckets for extra requests by service.
+    :param busyness: Rate of the sub-requests that this instance sends.
+    :param sharing: Instances that share the limits.
+    :param computed_seconds: Time at which these were last determined.
+    """
+
+    __slots__ = ('buckets', 'busyness', 'computed_seconds', 'sharing')
+
+    def __init__(self, membership: Membership, now_seconds: float) -> None:
+        self.buckets: dict[str, ExtraLoadBucket] = {}
+        self.busyness = Busyness(now_seconds)
+        self.sharing = compute_sharing(membership)
+        self.computed_seconds = now_seconds
+
+
+def get_sharing(
+    fleet_share: FleetShare, membership: Membership, now_seconds: float
+) -> Sharing:
+    """Return the instances that share the limits of the targets.
+
+    :param fleet_share: Share of this instance.
+    :param membership: The membership table of this instance.
+    :param now_seconds: Current time.
+    :returns: The instances, determined at most :data:`REFRESH_SECONDS` ago.
+    """
+    if now_seconds - fleet_share.computed_seconds > REFRESH_SECONDS:
+        fleet_share.sharing = compute_sharing(membership)
+        fleet_share.computed_seconds = now_seconds
+    return fleet_share.sharing
+
+
+def compute_sharing(membership: Membership) -> Sharing:
+    """Determine the instances that share the limits of the targets.
+
+    If callers are advised of some instances only, these share the limits among
+    themselves.  All others share them with the whole fleet: they need few
+    connections and few extra requests.
+
+    :param membership: The membership table of this instance.
+    :returns: The instances, and a conservative number of them.
+    """
+    counted = [
+        member
+        for member in membership.members.values()
+        if member.status in COUNTED_STATUSES
+    ]
+    preferred = preferred_members(counted)
+    is_preferred = any(
+        member.instance == membership.own.instance for member in preferred
+    )
+    sharing = preferred if is_preferred else counted
+    return Sharing(
+        zones=tuple(member.availability_zone for member in sharing),
+        fleet_count=_fleet_count(membership, len(sharing) / len(counted)),
+    )
+
+
+def _fleet_count(membership: Membership, sharing_ratio: float) -> int:
+    count = live_count(membership)
+    if count < 2:
+        return DEFAULT_FLEET_COUNT
+    return math.ceil(sharing_ratio * count)
--- a/celeryturn/decisions/membership.py
+++ b/celeryturn/decisions/membership.py
@@ -59,6 +59,10 @@
     :param availability_zone: Availability zone the instance runs in.
     :param incarnation: Increases with every start and every refutation.
     :param status: Known state of the instance.
+    :param capacity_per_second: Sub-requests that its machine can send per
+        second; zero if unknown.
+    :param is_busy: Whether it sends so many that callers should use others as
+        well.
     """
 
     instance: str
@@ -68,6 +72,8 @@
     availability_zone: str
     incarnation: Count = 0
     status: Status = Status.LISTED
+    capacity_per_second: Count = 0
+    is_busy: bool = False
 
 
 class Membership:
@@ -219,6 +225,23 @@
     return own
 
 
+def announce_busy(
+    membership: Membership, now_seconds: float, *, is_busy: bool
+) -> Member:
+    """Change whether this instance is busy.
+
+    :param membership: The membership table.
+    :param now_seconds: Time of the decision.
+    :param is_busy: Whether callers should use other instances as well.
+    :returns: The entry of this instance, which must be gossiped.
+    """
+    own = membership.own
+    changed = own._replace(is_busy=is_busy, incarnation=own.incarnation + 1)
+    membership.own = changed
+    _store(membership, changed, now_seconds)
+    return changed
+
+
 def neighbours_of(membership: Membership, count: int) -> list[str]:
     """Choose the instances to watch.
 
--- a/celeryturn/forwarding/answering.py
+++ b/celeryturn/forwarding/answering.py
@@ -9,7 +9,21 @@
 from celeryturn.forwarding.runner import Runner
 from celeryturn.forwarding.shared_state import SharedState
 from celeryturn.http.messages import HttpReply, HttpRequest
-from celeryturn.http.server import RequestHandler
+from celeryturn.http.server import HttpServer, RequestHandler
+
+
+def make_caller_server(
+    shared: SharedState, collectors: ForwardingMetrics
+) -> HttpServer:
+    """Build the server for the requests of callers.
+
+    :param shared: Shared state of the instance.
+    :param collectors: Metric collectors of the instance.
+    :returns: The server, which is not listening yet.
+    """
+    server = HttpServer(make_answerer(shared, collectors), refusal_reply)
+    server.limits.max_connections = shared.settings.max_connection_count
+    return server
 
 
 def make_answerer(
--- a/celeryturn/forwarding/app.py
+++ b/celeryturn/forwarding/app.py
@@ -15,8 +15,9 @@
     log,
 )
 from celeryturn.forwarding import shared_state
-from celeryturn.forwarding.answering import make_answerer
+from celeryturn.forwarding.answering import make_caller_server
 from celeryturn.forwarding.auxiliary_listeners import make_auxiliary_listeners
+from celeryturn.forwarding.load_announcement import announce_busy
 from celeryturn.forwarding.metrics import ForwardingMetrics
 from celeryturn.forwarding.peer_lists import (
     apply_peer_update,
@@ -24,7 +25,6 @@
     lacks_routes_or_targets,
     revision_to_request,
 )
-from celeryturn.forwarding.refusals import refusal_reply
 from celeryturn.forwarding.settings import ForwardingSettings
 from celeryturn.forwarding.store_watch import (
     note_peer_revision,
@@ -84,12 +84,7 @@
             ),
         )
         self.collectors = ForwardingMetrics()
-        self.caller_server = HttpServer(
-            make_answerer(self.shared, self.collectors), refusal_reply
-        )
-        self.caller_server.limits.max_connections = (
-            settings.max_connection_count
-        )
+        self.caller_server = make_caller_server(self.shared, self.collectors)
         self.shared.on_adopted.append(self._apply_limits)
         self.drain_requested = asyncio.Event()
         self._auxiliary_servers = make_auxiliary_listeners(
@@ -126,6 +121,7 @@
         self._start_loop(lambda: run_housekeeping(self.shared))
         self._start_loop(lambda: peers.gossip(self.network))
         self._start_loop(self._become_ready)
+        self._start_loop(lambda: announce_busy(self.shared, self.network))
 
     def apply_settings(self, settings: ForwardingSettings) -> None:
         """Apply changed settings, except for names and ports.
--- a/celeryturn/forwarding/metrics.py
+++ b/celeryturn/forwarding/metrics.py
@@ -162,7 +162,7 @@
         _set_gauge(
             gauges, 'target_connections', connection_count, service=service
         )
-    for name, bucket in shared.extra_load_buckets.items():
+    for name, bucket in shared.fleet_share.buckets.items():
         _set_gauge(
             gauges, 'extra_load_left', _remaining_tokens(bucket), service=name
         )
--- a/celeryturn/forwarding/runner.py
+++ b/celeryturn/forwarding/runner.py
@@ -7,7 +7,7 @@
 from celeryturn.decisions.pacing import estimate_latency, hedge_delay_seconds
 from celeryturn.decisions.replies import AttemptOutcome, TargetReply
 from celeryturn.decisions.route_table import Route
-from celeryturn.forwarding import shared_state
+from celeryturn.forwarding import extra_load_access, shared_state
 from celeryturn.forwarding.pools import (
     Exchange,
     NotSentError,
@@ -114,7 +114,7 @@
         :returns: Final state of the request.
         """
         for service in self.context.plan.services:
-            shared_state.earn_extra_load(self.shared, service)
+            extra_load_access.earn_extra_load(self.shared, service)
         try:
             self._apply(sharded.begin(self.state, self._view()))
             await self._done
@@ -186,6 +186,7 @@
         self.exchanges[attempt.number] = exchange
         self.history[attempt.number] = AttemptRecord(attempt)
         attempt.replica.pending[id(exchange)] = shared_state.now()
+        self.shared.fleet_share.busyness.sent_count += 1
         submit(shared_state.get_pool(self.shared, attempt.replica), exchange)
 
     def _cancel(self, attempt: legs.Attempt) -> None:
@@ -292,10 +293,10 @@
             hedge_delay_seconds=self._hedge_delay_seconds(expected_latency),
             zone=shared.instance.settings.availability_zone,
             random=shared.instance.random,
-            spend=lambda name, share: shared_state.spend_extra_load(
+            spend=lambda name, share: extra_load_access.spend_extra_load(
                 shared, name, share
             ),
-            is_extra_load_low=lambda name: shared_state.is_extra_load_low(
+            is_extra_load_low=lambda name: extra_load_access.is_extra_load_low(
                 shared, name
             ),
         )
--- a/celeryturn/forwarding/shared_state.py
+++ b/celeryturn/forwarding/shared_state.py
@@ -5,11 +5,11 @@
 from typing import Final, Protocol, TypeAlias
 
 from celeryturn.clock import boottime_seconds
-from celeryturn.decisions import extra_load, membership
 from celeryturn.decisions.caller_timeouts import CallerTimeouts
 from celeryturn.decisions.connection_shares import connection_share
 from celeryturn.decisions.directory import Directory
 from celeryturn.decisions.entry_history import EntryHistory
+from celeryturn.decisions.fleet_share import FleetShare, get_sharing
 from celeryturn.decisions.latency import LatencyWindow
 from celeryturn.decisions.line_budget import LineBudget, may_write
 from celeryturn.decisions.replicas import Replica
@@ -106,7 +106,7 @@
     :param table_body: The current routes as they were published, for peers.
     :param directory: Known targets and their observed state.
     :param pools: Connection pools by target.
-    :param extra_load_buckets: Token buckets for extra requests by service.
+    :param fleet_share: Share of this instance in the limits of the targets.
     :param latencies: Observed latencies of targets by route.
     :param splitter: State of the routes that are split over services.
     :param caller_timeouts: Timeouts that callers report, by route.
@@ -126,7 +126,7 @@
         self.table_body = b''
         self.directory = Directory()
         self.pools: dict[str, Pool] = {}
-        self.extra_load_buckets: dict[str, extra_load.ExtraLoadBucket] = {}
+        self.fleet_share = FleetShare(instance.membership, now())
         self.latencies: dict[str, LatencyWindow] = {}
         self.splitter = Splitter()
         self.caller_timeouts: dict[str, CallerTimeouts] = {}
@@ -187,78 +187,6 @@
     return shared.table.version if shared.table else 0
 
 
-def fleet_count(shared: SharedState) -> int:
-    """Return the number of instances that share limits and extra load.
-
-    :param shared: Shared state of the instance.
-    :returns: Number of instances; a conservative default while no peers are
-        known.
-    """
-    count = membership.live_count(shared.instance.membership)
-    return extra_load.DEFAULT_FLEET_COUNT if count < 2 else count
-
-
-def get_bucket(shared: SharedState, service: str) -> extra_load.ExtraLoadBucket:
-    """Return the token bucket for extra requests to a service.
-
-    :param shared: Shared state of the instance.
-    :param service: Name of the service.
-    :returns: This instance's bucket, created if it does not exist.
-    """
-    bucket = shared.extra_load_buckets.get(service)
-    if bucket is None:
-        bucket = extra_load.ExtraLoadBucket(get_allowance(shared))
-        shared.extra_load_buckets[service] = bucket
-    return bucket
-
-
-def earn_extra_load(shared: SharedState, service: str) -> None:
-    """Credit the bucket of a service for one needed request.
-
-    :param shared: Shared state of the instance.
-    :param service: Name of the service.
-    """
-    extra_load.earn(get_bucket(shared, service), get_allowance(shared), now())
-
-
-def spend_extra_load(
-    shared: SharedState, service: str, reserve_share: float
-) -> bool:
-    """Take a token for an extra request to a service if enough are left.
-
-    :param shared: Shared state of the instance.
-    :param service: Name of the service.
-    :param reserve_share: Fraction of the bucket's capacity that must remain
-        after the request.
-    :returns: Whether the request may be sent.
-    """
-    bucket = get_bucket(shared, service)
-    reserve_tokens = reserve_share * extra_load.capacity(
-        bucket, get_allowance(shared)
-    )
-    return extra_load.spend(bucket, reserve_tokens)
-
-
-def is_extra_load_low(shared: SharedState, service: str) -> bool:
-    """Return whether the bucket of a service is running low.
-
-    :param shared: Shared state of the instance.
-    :param service: Name of the service.
-    :returns: Whether few tokens for extra requests are left.
-    """
-    return extra_load.is_low(get_bucket(shared, service), get_allowance(shared))
-
-
-def get_allowance(shared: SharedState) -> extra_load.Allowance:
-    """Return the allowance of this instance for extra requests.
-
-    :param shared: Shared state of the instance.
-    :returns: Bounds on the extra load and the number of instances that share
-        them.
-    """
-    return extra_load.Allowance(shared.settings.extra_load, fleet_count(shared))
-
-
 def get_pool(shared: SharedState, replica: Replica) -> Pool:
     """Return the connection pool of a target.
 
@@ -329,15 +257,11 @@
     table = shared.table
     service = replica.entry.service
     limit = table.connection_limits.get(service, 0) if table else 0
-    members = shared.instance.membership.members.values()
-    zones = [
-        member.availability_zone
-        for member in members
-        if member.status in membership.COUNTED_STATUSES
-    ]
     return connection_share(
         limit,
         replica.entry.zone,
         shared.instance.settings.availability_zone,
-        zones,
+        get_sharing(
+            shared.fleet_share, shared.instance.membership, now()
+        ).zones,
     )
--- a/celeryturn/instance.py
+++ b/celeryturn/instance.py
@@ -128,6 +128,7 @@
         availability_zone=settings.availability_zone,
         incarnation=incarnation,
         status=membership.Status.ALIVE,
+        capacity_per_second=settings.capacity_per_second,
     )
 
 
--- a/celeryturn/platform/node_settings.py
+++ b/celeryturn/platform/node_settings.py
@@ -15,6 +15,10 @@
 PEER_IDLE_SECONDS: Final = 3.0
 EXTRA_LOAD_DEFAULTS: Final = ExtraLoadBounds()
 DEFAULT_DESCRIPTOR_COUNT: Final = 1024
+# A sub-request with its reply takes half a millisecond of a core, and a reply
+# of a kilobyte with its headers takes 80 microseconds of a link of 100 Mbit/s.
+SUB_REQUESTS_PER_CORE_SECOND: Final = 2000
+SUB_REQUESTS_PER_MEGABIT: Final = 125
 MAX_SETTING: Final = 1e9
 # Descriptors reserved for files.  Callers get a fraction of the others, so that
 # some are left for connections to targets.
@@ -98,6 +102,21 @@
         instances=store,
         neighbour_count=NEIGHBOUR_COUNT,
         timing=Timing(peer_idle_seconds=PEER_IDLE_SECONDS),
+        capacity_per_second=_read_capacity(reader),
+    )
+
+
+def _read_capacity(reader: '_Reader') -> int:
+    # The share of each core, and the number of cores.
+    core_count = reader.number('Limits.CpuShare', 0) * reader.number(
+        'Limits.Cores', 1
+    )
+    link_mbps = reader.number('Limits.LinkMbps', 0)
+    return int(
+        min(
+            core_count * SUB_REQUESTS_PER_CORE_SECOND,
+            link_mbps * SUB_REQUESTS_PER_MEGABIT,
+        )
     )
 
 
--- a/celeryturn/queries/routed_dump.py
+++ b/celeryturn/queries/routed_dump.py
@@ -119,7 +119,7 @@
     instance = shared.instance
     members = instance.membership
     names = sorted(
-        shared.directory.replicas.keys() | shared.extra_load_buckets.keys()
+        shared.directory.replicas.keys() | shared.fleet_share.buckets.keys()
     )
     return RoutedStateDump(
         instance=instance.settings.instance,
@@ -154,7 +154,7 @@
 
 
 def _dump_service(shared: SharedState, name: str) -> RoutedServiceDump:
-    bucket = shared.extra_load_buckets.get(name)
+    bucket = shared.fleet_share.buckets.get(name)
     replicas = shared.directory.replicas.get(name, {})
     return RoutedServiceDump(
         extra_load_tokens=bucket.tokens if bucket else 0.0,
--- a/celeryturn/settings.py
+++ b/celeryturn/settings.py
@@ -8,7 +8,14 @@
 
 from celeryturn.errors import CeleryturnError, Fault, Kind
 from celeryturn.schema import decode
-from celeryturn.units import Address, Name, Port, PositiveCount, Seconds
+from celeryturn.units import (
+    Address,
+    Count,
+    Name,
+    Port,
+    PositiveCount,
+    Seconds,
+)
 
 
 class Endpoint(NamedTuple):
@@ -60,6 +67,8 @@
     :param instances: Endpoint of the list of instances.
     :param neighbour_count: Number of instances that it watches.
     :param timing: Intervals and timeouts.
+    :param capacity_per_second: Sub-requests that the machine can send per
+        second; zero if unknown.
     """
 
     instance: Name
@@ -71,6 +80,7 @@
     instances: Endpoint
     neighbour_count: PositiveCount = 4
     timing: Timing = Timing()
+    capacity_per_second: Count = 0
 
 
 def load_settings(path: str) -> Settings:
--- a/tests/steps/decoders.py
+++ b/tests/steps/decoders.py
@@ -231,6 +231,7 @@
 @then('every peer message is unchanged after encoding and decoding')
 def try_round_trip(context: Context) -> None:
     """Encode and decode messages of most types."""
+    counts = st.integers(0, 2**60)
     members = st.builds(
         Member,
         st.text(max_size=10),
@@ -240,8 +241,9 @@
         st.text(max_size=10),
         st.integers(0, 2**60),
         st.sampled_from(Status),
+        counts,
+        st.booleans(),
     )
-    counts = st.integers(0, 2**60)
     any_message = st.one_of(
         st.builds(messages.Ping, st.floats(-1e12, 1e12), counts, counts),
         st.builds(messages.TableRequest, counts),
