An instance is ready once it knows routes and targets, without waiting for peers

The wait was there so that an older configuration is not served; a read of the store returns the newest one, and routes from a peer mean that a peer has been heard. So it guarded nothing, and is removed with its constants. While an instance advises of itself only, callers keep that for 0.5 s.

--- a/celeryturn/forwarding/advice.py
+++ b/celeryturn/forwarding/advice.py
@@ -9,6 +9,7 @@
 from celeryturn.platform import wire
 
 MAX_KEEP_SECONDS: Final = 2.0
+SINGLE_KEEP_SECONDS: Final = 0.5
 OK: Final = 200
 
 
@@ -34,6 +35,9 @@
     keep_seconds = min(
         MAX_KEEP_SECONDS, shared.settings.grace.advice_keep_seconds
     )
+    if len(addresses) == 1:
+        # An instance that has just started may not know its peers yet.
+        keep_seconds = min(keep_seconds, SINGLE_KEEP_SECONDS)
     return wire.advice_reply(addresses, keep_seconds)
 
 
--- a/celeryturn/forwarding/app.py
+++ b/celeryturn/forwarding/app.py
@@ -39,7 +39,6 @@
 
 MILLISECONDS_PER_SECOND: Final = 1000
 POLL_INTERVAL_SECONDS: Final = 0.02
-FIRST_PEER_WAIT_SECONDS: Final = 1.0
 FLUSH_TIMEOUT_SECONDS: Final = 0.2
 # Fractions of the grace period of a shutdown at which new requests are refused,
 # the port is closed at the latest, and the requests still in flight are ended.
@@ -224,14 +223,8 @@
 
     async def _become_ready(self) -> None:
         shared = self.shared
-        started_seconds = shared_state.now()
         while lacks_routes_or_targets(shared):
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
-        # Wait for contact with a peer: a restarted instance must not serve an
-        # older configuration than the current one, and its advice to callers
-        # also names peers.  Peers without power do not respond at all.
-        while self._must_wait_for_peers(started_seconds):
-            await asyncio.sleep(POLL_INTERVAL_SECONDS)
         shared.instance.is_ready = True
         log(
             READY,
@@ -239,15 +232,6 @@
             version=shared_state.table_version(shared),
         )
 
-    def _must_wait_for_peers(self, started_seconds: float) -> bool:
-        if self.network.first_contact.is_set():
-            return False
-        waited_seconds = shared_state.now() - started_seconds
-        return (
-            peers.may_reach_seed(self.network)
-            and waited_seconds < FIRST_PEER_WAIT_SECONDS
-        )
-
 
 async def _listen(server: HttpServer, endpoint: Endpoint) -> Fault | None:
     try:
--- a/celeryturn/peers/dial_timeouts.py
+++ b/celeryturn/peers/dial_timeouts.py
@@ -9,7 +9,6 @@
 
 FIRST_TIMEOUT_SECONDS: Final = 0.25
 MAX_TIMEOUT_SECONDS: Final = 2.0
-UNREACHABLE_TIMEOUT_COUNT: Final = 2
 
 
 class DialTimeouts:
@@ -48,14 +47,3 @@
     """
     factor: int = 2 ** timeouts.counts.get(name, 0)
     return min(MAX_TIMEOUT_SECONDS, FIRST_TIMEOUT_SECONDS * factor)
-
-
-def may_be_reachable(timeouts: DialTimeouts, name: str) -> bool:
-    """Return whether a peer may still respond soon.
-
-    :param timeouts: Attempts that timed out.
-    :param name: Name of the peer.
-    :returns: Whether fewer than :data:`UNREACHABLE_TIMEOUT_COUNT` attempts
-        have timed out in a row.
-    """
-    return timeouts.counts.get(name, 0) < UNREACHABLE_TIMEOUT_COUNT
--- a/celeryturn/peers/network.py
+++ b/celeryturn/peers/network.py
@@ -21,7 +21,7 @@
 from celeryturn.peers import dial_timeouts, messages
 from celeryturn.peers.handlers import handle_message, request_target_list
 from celeryturn.peers.links import PeerLink, enqueue, send_queued
-from celeryturn.peers.seeds import may_reach_any, unknown_seed_urls
+from celeryturn.peers.seeds import unknown_seed_urls
 from celeryturn.settings import Endpoint
 from celeryturn.watcher import update_connection_shares
 
@@ -190,17 +190,6 @@
         broadcast(network, messages.Members(tuple(changed)), source_link)
 
 
-def may_reach_seed(network: Network) -> bool:
-    """Return whether a seed may still respond, before the first contact.
-
-    :param network: The network.
-    :returns: False if there is no seed but this instance, or if none of them
-        has responded to several attempts to dial it.
-    """
-    own_endpoint = network.instance.settings.peers
-    return may_reach_any(network.seeds, own_endpoint, network.dial_timeouts)
-
-
 async def close_network(network: Network) -> None:
     """Close dialled links and the server with its accepted links.
 
--- a/celeryturn/peers/seeds.py
+++ b/celeryturn/peers/seeds.py
@@ -4,7 +4,6 @@
 from typing import Final
 
 from celeryturn.decisions import membership
-from celeryturn.peers.dial_timeouts import DialTimeouts, may_be_reachable
 from celeryturn.settings import Endpoint
 
 NAME_PREFIX: Final = 'seed'
@@ -34,23 +33,5 @@
     }
 
 
-def may_reach_any(
-    seeds: Iterable[Endpoint], own: Endpoint, timeouts: DialTimeouts
-) -> bool:
-    """Return whether a seed other than this instance may still respond.
-
-    :param seeds: Endpoints of the seeds.
-    :param own: Endpoint of this instance.
-    :param timeouts: Attempts to dial a seed that timed out.
-    :returns: False if there is no other seed, or if none of them has responded
-        to several attempts.
-    """
-    return any(
-        may_be_reachable(timeouts, _temporary_name(seed))
-        for seed in seeds
-        if seed != own
-    )
-
-
 def _temporary_name(seed: Endpoint) -> str:
     return f'{NAME_PREFIX} {seed.address}:{seed.port}'
