The pause after a change of the store grows with the fleet

A pause of 0.02 s an instance, from 0.4 to 1.2 s, makes each call return more changes; the bounds for configuration and leaving are 3 s and more.

--- a/celeryturn/forwarding/store_watch.py
+++ b/celeryturn/forwarding/store_watch.py
@@ -10,6 +10,7 @@
     record_list,
     record_removal,
 )
+from celeryturn.decisions.membership import live_count
 from celeryturn.decisions.replicas import TargetEntry
 from celeryturn.errors import CeleryturnError
 from celeryturn.events import ENTRY_UNUSABLE, STORE_BACK, STORE_LOST, log
@@ -46,7 +47,9 @@
 MAX_READ_TIMEOUT_SECONDS: Final = 1.5
 READ_GROWTH_FACTOR: Final = 2.0
 MAX_FAILED_COUNT: Final = 8
-CHANGE_BATCH_SECONDS: Final = 0.4
+MIN_CHANGE_PAUSE_SECONDS: Final = 0.4
+CHANGE_PAUSE_PER_INSTANCE_SECONDS: Final = 0.02
+MAX_CHANGE_PAUSE_SECONDS: Final = 1.2
 BEHIND_PEER_GRACE_SECONDS: Final = 0.8
 HOUSEKEEPING_INTERVAL_SECONDS: Final = 0.25
 MAX_IDLE_SECONDS: Final = 8.0
@@ -145,7 +148,21 @@
     if changes.changes:
         # Changes come in bursts and each call to the store has a cost, so
         # pause here: the next call then returns several changes.
-        await asyncio.sleep(CHANGE_BATCH_SECONDS)
+        await asyncio.sleep(change_pause_seconds(shared))
+
+
+def change_pause_seconds(shared: SharedState) -> float:
+    """Return the pause after a change, before the store is called again.
+
+    :param shared: Shared state of the instance.
+    :returns: Seconds.  Every instance calls the store after a change, so the
+        pause grows with the fleet, up to :data:`MAX_CHANGE_PAUSE_SECONDS`.
+    """
+    instance_count = live_count(shared.instance.membership)
+    pause_seconds = CHANGE_PAUSE_PER_INSTANCE_SECONDS * instance_count
+    return min(
+        MAX_CHANGE_PAUSE_SECONDS, max(MIN_CHANGE_PAUSE_SECONDS, pause_seconds)
+    )
 
 
 async def _watch(shared: SharedState, clients: StoreClients) -> Changes:
--- a/tests/forwarding/forward.feature
+++ b/tests/forwarding/forward.feature
@@ -225,6 +225,17 @@
     And the store loses no more watches
     Then the instance follows version 2
 
+  Scenario Outline: A large fleet calls the store less often while it changes
+    Given a plain route to 1 targets
+    Then in a fleet of <count> the pause after a change is <seconds> s
+
+    Examples:
+      | count | seconds |
+      | 9     | 0.4     |
+      | 40    | 0.8     |
+      | 86    | 1.2     |
+      | 480   | 1.2     |
+
   Scenario: Checks cost less than watches that time out as often
     Then an instance calls a store without changes at most 0.15 times a second
 
@@ -247,6 +258,7 @@
     Given a plain route to 1 targets
     When a second instance starts whose only seed never responds
     Then the second instance is ready without any contact
+    And it advises callers of itself only, for at most 0.5 s
 
   Scenario: A draining target receives no new requests
     Given a plain route to 2 targets
--- a/tests/steps/forward.py
+++ b/tests/steps/forward.py
@@ -12,7 +12,7 @@
 
 from celeryturn.decisions import directory
 from celeryturn.decisions.replicas import Replica
-from celeryturn.forwarding import app, shared_state, store_watch
+from celeryturn.forwarding import shared_state, store_watch
 from celeryturn.forwarding.app import ForwardingApplication
 from celeryturn.forwarding.shared_state import SharedState, StoreProgress
 from celeryturn.http.messages import HttpReply, HttpRequest, header
@@ -310,9 +310,6 @@
     silent = socket.create_server((ADDRESS, 0))
     context.add_cleanup(silent.close)
     seed = Endpoint(ADDRESS, silent.getsockname()[1])
-    patched = mock.patch.object(app, 'FIRST_PEER_WAIT_SECONDS', 3600)
-    patched.start()
-    context.add_cleanup(patched.stop)
     _run(context, world.start_instance(seeds=(seed,)))
 
 
@@ -325,6 +322,23 @@
     assert not second.network.first_contact.is_set()
 
 
+@then('it advises callers of itself only, for at most {seconds:g} s')
+def expect_short_advice(context: Context, seconds: float) -> None:
+    """Check the advice of the second instance."""
+    world = _world(context)
+    settings = world.applications[1].shared.settings
+    request = HttpRequest('GET', '/v1/resolve?Name=x&Region=r&Zone=near')
+
+    async def read_advice() -> HttpReply:
+        connection = await world.connect(settings.directory)
+        return await connection.exchange(request)
+
+    advice = msgspec.json.decode(_run(context, read_advice()).body)
+    callers = settings.instance.callers
+    assert advice['addrs'] == [f'{callers.address}:{callers.port}'], advice
+    assert 0 < advice['ttl_s'] <= seconds, advice
+
+
 @when('a caller books at "{path}"')
 def send_booking(context: Context, path: str) -> None:
     """Send an at-most-once request."""
@@ -491,6 +505,15 @@
     world.store.mode = Mode.SERVING
 
 
+@then('in a fleet of {count:d} the pause after a change is {seconds:g} s')
+def expect_pause(context: Context, count: int, seconds: float) -> None:
+    """Check the pause before the store is called again."""
+    shared = _world(context).applications[0].shared
+    shared.instance.membership.peak_count = count
+    pause_seconds = store_watch.change_pause_seconds(shared)
+    assert abs(pause_seconds - seconds) < 0.001, pause_seconds
+
+
 @then(
     'an instance calls a store without changes at most {rate:g} times a second'
 )
