--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from typing import Final, NamedTuple
 
-from celeryturn.decisions.membership import list_wait_seconds
+from celeryturn.decisions.fleet.membership import list_wait_seconds
 
 NODE_COUNT: Final = 480
 TARGET_COUNT: Final = 2100
--- a/bench/model/instances.py
+++ b/bench/model/instances.py
@@ -8,10 +8,12 @@
 from bench.model.clock import Clock
 from bench.model.policies import Policy
 from bench.model.targets import Job, ModelTarget, network_delay_seconds
-from celeryturn.decisions import extra_load, legs, replicas, sharded
-from celeryturn.decisions.latency import LatencyWindow, record
-from celeryturn.decisions.pacing import estimate_latency
-from celeryturn.decisions.replies import AttemptOutcome, TargetReply
+from celeryturn.decisions.load import extra_load
+from celeryturn.decisions.request import legs, sharded
+from celeryturn.decisions.request.pacing import estimate_latency
+from celeryturn.decisions.request.replies import AttemptOutcome, TargetReply
+from celeryturn.decisions.targets import replicas
+from celeryturn.decisions.targets.latency import LatencyWindow, record
 
 LIST_DELAY_SECONDS: Final = 0.5
 CONNECTION_LIMIT: Final = 4
--- a/bench/model/policies.py
+++ b/bench/model/policies.py
@@ -4,7 +4,9 @@
 from types import MappingProxyType
 from typing import Final, NamedTuple
 
-from celeryturn.decisions import extra_load, pacing, replicas
+from celeryturn.decisions.load import extra_load
+from celeryturn.decisions.request import pacing
+from celeryturn.decisions.targets import replicas
 
 
 class Policy(NamedTuple):
--- a/bench/model/targets.py
+++ b/bench/model/targets.py
@@ -7,8 +7,8 @@
 from typing import Final, NamedTuple, TypeAlias
 
 from bench.model.clock import Clock
-from celeryturn.decisions.replicas import Load
-from celeryturn.decisions.replies import AttemptOutcome, TargetReply
+from celeryturn.decisions.request.replies import AttemptOutcome, TargetReply
+from celeryturn.decisions.targets.replicas import Load
 
 ReplyCallback: TypeAlias = Callable[[TargetReply], None]
 
--- a/bench/path.py
+++ b/bench/path.py
@@ -15,9 +15,9 @@
 import yaml
 
 from bench.fit import Slope, fit_lines
-from celeryturn.decisions import service_state
-from celeryturn.decisions.document import parse_document
-from celeryturn.decisions.planning import QueryKind, QueryRequest
+from celeryturn.decisions.configuration import service_state
+from celeryturn.decisions.configuration.document import parse_document
+from celeryturn.decisions.request.planning import QueryKind, QueryRequest
 from celeryturn.instance import Instance
 from celeryturn.queries.read import read as read_query
 from celeryturn.settings import Endpoint, Settings
--- a/bench/plain.py
+++ b/bench/plain.py
@@ -15,15 +15,15 @@
 
 from celeryturn.commands import book
 from celeryturn.daemon import main
-from celeryturn.decisions import (
+from celeryturn.decisions.load import limits
+from celeryturn.decisions.request import (
     course,
     hedging,
-    limits,
     query,
     routing,
     snapshots,
-    views,
 )
+from celeryturn.decisions.targets import views
 from celeryturn.queries import read as read_module
 
 
--- a/bench/works.py
+++ b/bench/works.py
@@ -14,18 +14,18 @@
 import msgspec
 
 from bench.fit import Work
-from celeryturn.decisions import course, membership, query, service_state
-from celeryturn.decisions.advice import advise
-from celeryturn.decisions.document import parse_document
-from celeryturn.decisions.merging import merge
-from celeryturn.decisions.messages import Record, Reply
-from celeryturn.decisions.planning import (
+from celeryturn.decisions.configuration import document, service_state
+from celeryturn.decisions.fleet import advice, membership
+from celeryturn.decisions.request import course, query
+from celeryturn.decisions.request.merging import merge
+from celeryturn.decisions.request.planning import (
     QueryKind,
     QueryRequest,
     SnapshotChoice,
     plan_query,
 )
-from celeryturn.decisions.views import Report, TargetView
+from celeryturn.decisions.targets.messages import Record, Reply
+from celeryturn.decisions.targets.views import Report, TargetView
 from celeryturn.http.messages import HttpReply, json_reply
 from celeryturn.peers import messages
 from celeryturn.queries.dump import dump_service
@@ -65,7 +65,7 @@
     :returns: The state.
     """
     raw = make_document(shard_count, target_count)
-    published = parse_document(msgspec.json.encode(raw))
+    published = document.parse_document(msgspec.json.encode(raw))
     service = service_state.ServiceState(published, NOW_SECONDS)
     service_state.apply_document(service, published, 1, NOW_SECONDS)
     return service
@@ -229,7 +229,7 @@
     callers = itertools.cycle(f'caller-{number}' for number in range(100))
 
     def work() -> object:
-        return advise(members, next(callers), 'zone-1', 20, 0.5)
+        return advice.advise(members, next(callers), 'zone-1', 20, 0.5)
 
     return work
 
@@ -243,7 +243,7 @@
     body = _make_document_body(kilobytes)
 
     def work() -> object:
-        return parse_document(body)
+        return document.parse_document(body)
 
     return work
 
@@ -324,7 +324,7 @@
     :param kilobytes: Approximate size of the published document.
     :returns: The parsed document.
     """
-    return parse_document(_make_document_body(kilobytes))
+    return document.parse_document(_make_document_body(kilobytes))
 
 
 TIME_MEASUREMENTS: Final[
--- a/celeryturn/app.py
+++ b/celeryturn/app.py
@@ -6,8 +6,8 @@
 from typing import Final
 
 from celeryturn import watcher
-from celeryturn.decisions import membership
-from celeryturn.decisions.document import PublishedDocument
+from celeryturn.decisions.configuration.document import PublishedDocument
+from celeryturn.decisions.fleet import membership
 from celeryturn.entry.routes import HandlerContext, answer_request, refuse
 from celeryturn.errors import CeleryturnError, Fault, Kind
 from celeryturn.events import (
--- a/celeryturn/cli.py
+++ b/celeryturn/cli.py
@@ -13,7 +13,7 @@
 from celeryturn import log_analysis, tables
 from celeryturn.client import send_request
 from celeryturn.command_line import run_command_line
-from celeryturn.decisions.document import parse_document
+from celeryturn.decisions.configuration.document import parse_document
 from celeryturn.errors import CeleryturnError
 from celeryturn.platform.node_settings import load_node_settings
 from celeryturn.settings import parse_settings
--- a/celeryturn/commands/book.py
+++ b/celeryturn/commands/book.py
@@ -6,11 +6,12 @@
 import asyncio
 from typing import NamedTuple
 
-from celeryturn.decisions import booking, booking_table, views
-from celeryturn.decisions.admission import is_booking_expected_late
-from celeryturn.decisions.document import serving_index, shard_of
-from celeryturn.decisions.limits import Urgency
-from celeryturn.decisions.service_state import ServiceState
+from celeryturn.decisions.bookings import booking, booking_table
+from celeryturn.decisions.configuration.document import serving_index, shard_of
+from celeryturn.decisions.configuration.service_state import ServiceState
+from celeryturn.decisions.load.admission import is_booking_expected_late
+from celeryturn.decisions.load.limits import Urgency
+from celeryturn.decisions.targets import views
 from celeryturn.errors import CeleryturnError, Kind, Run
 from celeryturn.events import BOOKING_ENDED, log
 from celeryturn.http.messages import HttpReply, HttpRequest
--- /dev/null
+++ b/celeryturn/decisions/bookings/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on requests that may run at most once."""
--- a/celeryturn/decisions/booking.py
+++ b/celeryturn/decisions/bookings/booking.py
@@ -5,7 +5,7 @@
 
 from typing import Final, NamedTuple
 
-from celeryturn.decisions.document import (
+from celeryturn.decisions.configuration.document import (
     Home,
     ServiceDocument,
     serving_index,
--- /dev/null
+++ b/celeryturn/decisions/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Which published configuration is in use, and how fresh it is."""
--- a/celeryturn/decisions/adoption.py
+++ b/celeryturn/decisions/configuration/adoption.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from celeryturn.decisions.document import (
+from celeryturn.decisions.configuration.document import (
     Home,
     PublishedDocument,
     ServiceDocument,
--- a/celeryturn/decisions/service_state.py
+++ b/celeryturn/decisions/configuration/service_state.py
@@ -2,17 +2,24 @@
 
 from typing import Final, NamedTuple
 
-from celeryturn.decisions.budget import Budget
-from celeryturn.decisions.document import (
+from celeryturn.decisions.configuration.document import (
     PublishedDocument,
     ServiceDocument,
     Target,
     serving_index,
 )
-from celeryturn.decisions.latency import LatencyWindow
-from celeryturn.decisions.limits import equal_share, set_share, waiting_count
-from celeryturn.decisions.planning import SnapshotChoice, choose_snapshot
-from celeryturn.decisions.views import (
+from celeryturn.decisions.load.budget import Budget
+from celeryturn.decisions.load.limits import (
+    equal_share,
+    set_share,
+    waiting_count,
+)
+from celeryturn.decisions.request.planning import (
+    SnapshotChoice,
+    choose_snapshot,
+)
+from celeryturn.decisions.targets.latency import LatencyWindow
+from celeryturn.decisions.targets.views import (
     TargetView,
     observe_leaving,
     observe_serving,
--- a/celeryturn/decisions/advice.py
+++ b/celeryturn/decisions/fleet/advice.py
@@ -6,7 +6,7 @@
 
 import xxhash
 
-from celeryturn.decisions.membership import Member, Status
+from celeryturn.decisions.fleet.membership import Member, Status
 
 ADVISED_COUNT: Final = 3
 MIN_KEEP_RATIO: Final = 0.75
--- /dev/null
+++ b/celeryturn/decisions/load/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions that limit the load on targets and on this instance."""
--- a/celeryturn/decisions/admission.py
+++ b/celeryturn/decisions/load/admission.py
@@ -8,10 +8,10 @@
 from collections.abc import Mapping
 from typing import Final
 
-from celeryturn.decisions.limits import Urgency, expected_reply_seconds
-from celeryturn.decisions.planning import QueryPlan
-from celeryturn.decisions.stopping import answer_due_seconds
-from celeryturn.decisions.views import TargetView, can_receive_work
+from celeryturn.decisions.load.limits import Urgency, expected_reply_seconds
+from celeryturn.decisions.request.planning import QueryPlan
+from celeryturn.decisions.request.stopping import answer_due_seconds
+from celeryturn.decisions.targets.views import TargetView, can_receive_work
 
 MIN_USEFUL_COVERAGE: Final = 0.8
 MAX_WAIT_SHARE: Final = 0.5
--- a/celeryturn/decisions/fleet_share.py
+++ b/celeryturn/decisions/load/fleet_share.py
@@ -7,17 +7,17 @@
 import math
 from typing import Final, NamedTuple
 
-from celeryturn.decisions.advice import preferred_members
-from celeryturn.decisions.busyness import Busyness
-from celeryturn.decisions.extra_load import (
-    DEFAULT_FLEET_COUNT,
-    ExtraLoadBucket,
-)
-from celeryturn.decisions.membership import (
+from celeryturn.decisions.fleet.advice import preferred_members
+from celeryturn.decisions.fleet.membership import (
     COUNTED_STATUSES,
     Membership,
     live_count,
 )
+from celeryturn.decisions.load.busyness import Busyness
+from celeryturn.decisions.load.extra_load import (
+    DEFAULT_FLEET_COUNT,
+    ExtraLoadBucket,
+)
 
 REFRESH_SECONDS: Final = 0.25
 
--- a/celeryturn/decisions/limits.py
+++ b/celeryturn/decisions/load/limits.py
@@ -9,7 +9,7 @@
 from collections import deque
 from typing import Final, NamedTuple
 
-from celeryturn.decisions.latency_estimate import (
+from celeryturn.decisions.targets.latency_estimate import (
     LatencyEstimate,
     is_queueing,
     observe_latency,
--- /dev/null
+++ b/celeryturn/decisions/request/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on one request: where to send it, and when to stop."""
--- a/celeryturn/decisions/course.py
+++ b/celeryturn/decisions/request/course.py
@@ -3,11 +3,11 @@
 import enum
 from typing import NamedTuple, TypeAlias
 
-from celeryturn.decisions.budget import Budget
-from celeryturn.decisions.latency import LatencyWindow
-from celeryturn.decisions.messages import Reply
-from celeryturn.decisions.planning import QueryPlan
-from celeryturn.decisions.routing import RandomSource, Views
+from celeryturn.decisions.load.budget import Budget
+from celeryturn.decisions.request.planning import QueryPlan
+from celeryturn.decisions.request.routing import RandomSource, Views
+from celeryturn.decisions.targets.latency import LatencyWindow
+from celeryturn.decisions.targets.messages import Reply
 
 
 class Failure(enum.StrEnum):
--- a/celeryturn/decisions/hedging.py
+++ b/celeryturn/decisions/request/hedging.py
@@ -2,9 +2,16 @@
 
 from typing import Final
 
-from celeryturn.decisions import latency
-from celeryturn.decisions.course import Context, QueryState, ShardProgress
-from celeryturn.decisions.stopping import answer_due_seconds, early_stop_seconds
+from celeryturn.decisions.request.course import (
+    Context,
+    QueryState,
+    ShardProgress,
+)
+from celeryturn.decisions.request.stopping import (
+    answer_due_seconds,
+    early_stop_seconds,
+)
+from celeryturn.decisions.targets import latency
 
 HEDGE_PERCENTILE: Final = 95.0
 HEDGE_FACTOR: Final = 1.25
--- a/celeryturn/decisions/legs.py
+++ b/celeryturn/decisions/request/legs.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable, Sequence
 from typing import Final, NamedTuple, TypeAlias
 
-from celeryturn.decisions.replicas import ExpectedLatency, Replica
-from celeryturn.decisions.replies import AttemptOutcome, TargetReply
+from celeryturn.decisions.request.replies import AttemptOutcome, TargetReply
+from celeryturn.decisions.targets.replicas import ExpectedLatency, Replica
 
 # An answer that waits until it is due may be delayed by this much by the
 # wake-up and the writing.
--- a/celeryturn/decisions/merging.py
+++ b/celeryturn/decisions/request/merging.py
@@ -3,14 +3,14 @@
 from collections.abc import Iterator
 from typing import Final
 
-from celeryturn.decisions.messages import (
+from celeryturn.decisions.request.course import QueryState, ShardProgress
+from celeryturn.decisions.targets.messages import (
     Coverage,
     Load,
     MissingShard,
     QueryAnswer,
     Record,
 )
-from celeryturn.decisions.course import QueryState, ShardProgress
 
 NO_REPLICA: Final = 'no_replica'
 NOT_IN_TIME: Final = 'not_in_time'
--- a/celeryturn/decisions/pacing.py
+++ b/celeryturn/decisions/request/pacing.py
@@ -7,8 +7,8 @@
 
 from typing import Final
 
-from celeryturn.decisions.latency import LatencyWindow, quantile
-from celeryturn.decisions.replicas import ExpectedLatency
+from celeryturn.decisions.targets.latency import LatencyWindow, quantile
+from celeryturn.decisions.targets.replicas import ExpectedLatency
 
 TYPICAL_PERCENTILE: Final = 50.0
 SLOW_PERCENTILE: Final = 90.0
--- a/celeryturn/decisions/planning.py
+++ b/celeryturn/decisions/request/planning.py
@@ -4,14 +4,14 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from celeryturn.decisions.document import (
+from celeryturn.decisions.configuration.document import (
     Index,
     ServiceDocument,
     serving_index,
     shard_of,
 )
-from celeryturn.decisions.limits import Urgency
-from celeryturn.decisions.views import (
+from celeryturn.decisions.load.limits import Urgency
+from celeryturn.decisions.targets.views import (
     TargetView,
     can_receive_work,
     has_fresh_snapshot_report,
--- a/celeryturn/decisions/query.py
+++ b/celeryturn/decisions/request/query.py
@@ -7,8 +7,9 @@
 
 from collections.abc import Iterable
 
-from celeryturn.decisions import budget, hedging, routing, snapshots, views
-from celeryturn.decisions.course import (
+from celeryturn.decisions.load import budget
+from celeryturn.decisions.request import hedging, routing, snapshots
+from celeryturn.decisions.request.course import (
     Action,
     Actions,
     Attempt,
@@ -21,9 +22,13 @@
     ShardProgress,
     Wake,
 )
-from celeryturn.decisions.messages import Reply
-from celeryturn.decisions.planning import may_hold_snapshot
-from celeryturn.decisions.stopping import answer_due_seconds, can_stop_early
+from celeryturn.decisions.request.planning import may_hold_snapshot
+from celeryturn.decisions.request.stopping import (
+    answer_due_seconds,
+    can_stop_early,
+)
+from celeryturn.decisions.targets import views
+from celeryturn.decisions.targets.messages import Reply
 
 
 def begin(query: QueryState, context: Context) -> Actions:
--- a/celeryturn/decisions/replies.py
+++ b/celeryturn/decisions/request/replies.py
@@ -3,7 +3,7 @@
 import enum
 from typing import NamedTuple
 
-from celeryturn.decisions.replicas import Load
+from celeryturn.decisions.targets.replicas import Load
 
 
 class AttemptOutcome(enum.Enum):
--- a/celeryturn/decisions/retry_after.py
+++ b/celeryturn/decisions/request/retry_after.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from celeryturn.decisions.replicas import (
+from celeryturn.decisions.targets.replicas import (
     ExpectedLatency,
     Replica,
     expected_seconds,
--- a/celeryturn/decisions/routing.py
+++ b/celeryturn/decisions/request/routing.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final, TypeAlias
 
-from celeryturn.decisions.limits import waiting_count
-from celeryturn.decisions.views import (
+from celeryturn.decisions.load.limits import waiting_count
+from celeryturn.decisions.targets.views import (
     SLOW_START_SECONDS,
     TargetView,
     can_receive_work,
--- a/celeryturn/decisions/sharded.py
+++ b/celeryturn/decisions/request/sharded.py
@@ -7,7 +7,7 @@
 
 from typing import Final
 
-from celeryturn.decisions.legs import (
+from celeryturn.decisions.request.legs import (
     Actions,
     Attempt,
     Cancel,
@@ -19,9 +19,13 @@
     View,
     Wake,
 )
-from celeryturn.decisions.pacing import with_early_stall
-from celeryturn.decisions.replicas import Replica, choose_replica
-from celeryturn.decisions.replies import NOT_RUN, AttemptOutcome, TargetReply
+from celeryturn.decisions.request.pacing import with_early_stall
+from celeryturn.decisions.request.replies import (
+    NOT_RUN,
+    AttemptOutcome,
+    TargetReply,
+)
+from celeryturn.decisions.targets.replicas import Replica, choose_replica
 
 MAX_SENDS_PER_LEG: Final = 4
 HEDGE_RESERVE_SHARE: Final = 0.1
--- a/celeryturn/decisions/snapshots.py
+++ b/celeryturn/decisions/request/snapshots.py
@@ -6,9 +6,9 @@
 from collections.abc import Iterator
 from typing import Final
 
-from celeryturn.decisions.budget import force_spend
-from celeryturn.decisions.course import Context, Failure, QueryState
-from celeryturn.decisions.planning import may_hold_snapshot
+from celeryturn.decisions.load.budget import force_spend
+from celeryturn.decisions.request.course import Context, Failure, QueryState
+from celeryturn.decisions.request.planning import may_hold_snapshot
 
 MIN_GONE_SHARE: Final = 0.25
 
--- a/celeryturn/decisions/splitting.py
+++ b/celeryturn/decisions/request/splitting.py
@@ -1,6 +1,6 @@
 """Distribute the requests of a route over services by weight."""
 
-from celeryturn.decisions.route_table import Route
+from celeryturn.decisions.request.route_table import Route
 
 MAX_ROUTES = 1024
 
--- a/celeryturn/decisions/stopping.py
+++ b/celeryturn/decisions/request/stopping.py
@@ -5,7 +5,7 @@
 
 from typing import Final
 
-from celeryturn.decisions.planning import QueryPlan
+from celeryturn.decisions.request.planning import QueryPlan
 
 ANSWER_MARGIN_SHARE: Final = 0.1
 MAX_ANSWER_MARGIN_SECONDS: Final = 0.02
--- /dev/null
+++ b/celeryturn/decisions/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Observed state of targets, and which of them exist."""
--- a/celeryturn/decisions/directory.py
+++ b/celeryturn/decisions/targets/directory.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Final
 
-from celeryturn.decisions.replicas import Replica, TargetEntry
+from celeryturn.decisions.targets.replicas import Replica, TargetEntry
 
 MISSING_GRACE_SECONDS: Final = 2.2
 SHORT_MISSING_GRACE_SECONDS: Final = 1.2
--- a/celeryturn/decisions/entry_history.py
+++ b/celeryturn/decisions/targets/entry_history.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
-from celeryturn.decisions.directory import Directory, find_replica
-from celeryturn.decisions.replicas import TargetEntry
+from celeryturn.decisions.targets.directory import Directory, find_replica
+from celeryturn.decisions.targets.replicas import TargetEntry
 from celeryturn.units import Count
 
 MAX_REMOVALS: Final = 1024
--- a/celeryturn/decisions/messages.py
+++ b/celeryturn/decisions/targets/messages.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple, TypedDict
 
-from celeryturn.decisions.views import Report
+from celeryturn.decisions.targets.views import Report
 
 
 class Record(TypedDict):
--- a/celeryturn/decisions/views.py
+++ b/celeryturn/decisions/targets/views.py
@@ -5,8 +5,8 @@
 
 from typing import Final, NamedTuple
 
-from celeryturn.decisions.latency_estimate import smoothed
-from celeryturn.decisions.limits import Gate
+from celeryturn.decisions.load.limits import Gate
+from celeryturn.decisions.targets.latency_estimate import smoothed
 
 EJECT_AFTER_FAILURES: Final = 2
 EJECTION_SECONDS: Final = 5.0
--- a/celeryturn/entry/bodies.py
+++ b/celeryturn/entry/bodies.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from celeryturn.commands.book import BookingRequest
-from celeryturn.decisions.planning import QueryKind, QueryRequest
+from celeryturn.decisions.request.planning import QueryKind, QueryRequest
 from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.http.messages import HttpRequest, split_url
 from celeryturn.schema import decode
--- a/celeryturn/entry/gauges.py
+++ b/celeryturn/entry/gauges.py
@@ -2,8 +2,8 @@
 
 from collections import Counter
 
-from celeryturn.decisions.limits import waiting_count
-from celeryturn.decisions.service_state import ServiceState
+from celeryturn.decisions.configuration.service_state import ServiceState
+from celeryturn.decisions.load.limits import waiting_count
 from celeryturn.instance import Instance
 from celeryturn.metrics import Metrics, set_gauge
 from celeryturn.queries.dump import configuration_age_seconds
--- a/celeryturn/entry/routes.py
+++ b/celeryturn/entry/routes.py
@@ -5,8 +5,8 @@
 from typing import Final, NamedTuple, TypeAlias, TypeVar
 
 from celeryturn.commands.book import book
-from celeryturn.decisions.advice import advise
-from celeryturn.decisions.planning import QueryRequest
+from celeryturn.decisions.fleet.advice import advise
+from celeryturn.decisions.request.planning import QueryRequest
 from celeryturn.entry import bodies
 from celeryturn.entry.gauges import set_gauges
 from celeryturn.entry.refusals import refusal_reply
--- a/celeryturn/forwarding/advice.py
+++ b/celeryturn/forwarding/advice.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from celeryturn.decisions.advice import advise_zone
+from celeryturn.decisions.fleet.advice import advise_zone
 from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.forwarding.shared_state import SharedState
 from celeryturn.http.messages import HttpReply, HttpRequest
--- a/celeryturn/forwarding/app.py
+++ b/celeryturn/forwarding/app.py
@@ -4,8 +4,8 @@
 import time
 from typing import Final
 
-from celeryturn.decisions import membership
-from celeryturn.decisions.route_table import RouteTable
+from celeryturn.decisions.fleet import membership
+from celeryturn.decisions.request.route_table import RouteTable
 from celeryturn.errors import CeleryturnError, Fault, Kind
 from celeryturn.events import (
     LEAVING,
--- a/celeryturn/forwarding/extra_load_access.py
+++ b/celeryturn/forwarding/extra_load_access.py
@@ -1,7 +1,7 @@
 """Access to the token buckets for extra requests of an instance."""
 
-from celeryturn.decisions import extra_load
-from celeryturn.decisions.fleet_share import get_sharing
+from celeryturn.decisions.load import extra_load
+from celeryturn.decisions.load.fleet_share import get_sharing
 from celeryturn.forwarding.shared_state import SharedState, now
 
 
--- a/celeryturn/forwarding/forward.py
+++ b/celeryturn/forwarding/forward.py
@@ -4,15 +4,16 @@
 from collections.abc import Callable
 from typing import Final, TypeAlias
 
-from celeryturn.decisions import directory, retry_after, splitting
-from celeryturn.decisions.caller_timeouts import (
+from celeryturn.decisions.request import retry_after, splitting
+from celeryturn.decisions.request.caller_timeouts import (
     CallerTimeouts,
     elapsed_seconds,
     observe_timeout,
 )
-from celeryturn.decisions.legs import Plan, ShardedRequest
-from celeryturn.decisions.replies import AttemptOutcome, TargetReply
-from celeryturn.decisions.route_table import Route, match_route
+from celeryturn.decisions.request.legs import Plan, ShardedRequest
+from celeryturn.decisions.request.replies import AttemptOutcome, TargetReply
+from celeryturn.decisions.request.route_table import Route, match_route
+from celeryturn.decisions.targets import directory
 from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.forwarding import shared_state
 from celeryturn.forwarding.request_log import log_request
--- a/celeryturn/forwarding/load_announcement.py
+++ b/celeryturn/forwarding/load_announcement.py
@@ -3,8 +3,8 @@
 import asyncio
 from typing import Final
 
-from celeryturn.decisions import membership
-from celeryturn.decisions.busyness import is_busy
+from celeryturn.decisions.fleet import membership
+from celeryturn.decisions.load.busyness import is_busy
 from celeryturn.forwarding import shared_state
 from celeryturn.forwarding.shared_state import SharedState
 from celeryturn.peers.network import Network, broadcast_members
--- a/celeryturn/forwarding/metrics.py
+++ b/celeryturn/forwarding/metrics.py
@@ -5,7 +5,8 @@
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
-from celeryturn.decisions import extra_load, membership
+from celeryturn.decisions.fleet import membership
+from celeryturn.decisions.load import extra_load
 from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.forwarding import shared_state
 from celeryturn.forwarding.runner import Runner
--- a/celeryturn/forwarding/peer_lists.py
+++ b/celeryturn/forwarding/peer_lists.py
@@ -2,8 +2,8 @@
 
 from typing import Final
 
-from celeryturn.decisions import directory
-from celeryturn.decisions.entry_history import (
+from celeryturn.decisions.targets import directory
+from celeryturn.decisions.targets.entry_history import (
     EntryUpdate,
     changes_since,
     record_update,
--- a/celeryturn/forwarding/request_log.py
+++ b/celeryturn/forwarding/request_log.py
@@ -2,9 +2,10 @@
 
 from typing import Final, TypedDict
 
-from celeryturn.decisions import legs
-from celeryturn.decisions.line_budget import may_write, take_dropped_count
-from celeryturn.decisions.replies import AttemptOutcome
+from celeryturn.decisions.load.line_budget import may_write, take_dropped_count
+from celeryturn.decisions.request import legs
+from celeryturn.decisions.request.replies import AttemptOutcome
+from celeryturn.errors import CeleryturnError
 from celeryturn.events import (
     FORWARDED,
     FORWARDED_BADLY,
@@ -12,7 +13,6 @@
     REFUSED,
     log,
 )
-from celeryturn.errors import CeleryturnError
 from celeryturn.forwarding import shared_state
 from celeryturn.forwarding.runner import Runner
 from celeryturn.forwarding.shared_state import SharedState
--- a/celeryturn/forwarding/runner.py
+++ b/celeryturn/forwarding/runner.py
@@ -3,10 +3,14 @@
 import asyncio
 from typing import Final, NamedTuple
 
-from celeryturn.decisions import directory, latency, legs, replicas, sharded
-from celeryturn.decisions.pacing import estimate_latency, hedge_delay_seconds
-from celeryturn.decisions.replies import AttemptOutcome, TargetReply
-from celeryturn.decisions.route_table import Route
+from celeryturn.decisions.request import legs, sharded
+from celeryturn.decisions.request.pacing import (
+    estimate_latency,
+    hedge_delay_seconds,
+)
+from celeryturn.decisions.request.replies import AttemptOutcome, TargetReply
+from celeryturn.decisions.request.route_table import Route
+from celeryturn.decisions.targets import directory, latency, replicas
 from celeryturn.forwarding import extra_load_access, shared_state
 from celeryturn.forwarding.pools import (
     Exchange,
--- a/celeryturn/forwarding/settings.py
+++ b/celeryturn/forwarding/settings.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from celeryturn.decisions.extra_load import ExtraLoadBounds
+from celeryturn.decisions.load.extra_load import ExtraLoadBounds
 from celeryturn.settings import Endpoint, Settings
 
 
--- a/celeryturn/forwarding/shared_state.py
+++ b/celeryturn/forwarding/shared_state.py
@@ -5,16 +5,16 @@
 from typing import Final, Protocol, TypeAlias
 
 from celeryturn.clock import boottime_seconds
-from celeryturn.decisions.caller_timeouts import CallerTimeouts
-from celeryturn.decisions.connection_shares import connection_share
-from celeryturn.decisions.directory import Directory
-from celeryturn.decisions.entry_history import EntryHistory
-from celeryturn.decisions.fleet_share import FleetShare, get_sharing
-from celeryturn.decisions.latency import LatencyWindow
-from celeryturn.decisions.line_budget import LineBudget, may_write
-from celeryturn.decisions.replicas import Replica
-from celeryturn.decisions.route_table import RouteTable, is_newer
-from celeryturn.decisions.splitting import Splitter
+from celeryturn.decisions.load.connection_shares import connection_share
+from celeryturn.decisions.load.fleet_share import FleetShare, get_sharing
+from celeryturn.decisions.load.line_budget import LineBudget, may_write
+from celeryturn.decisions.request.caller_timeouts import CallerTimeouts
+from celeryturn.decisions.request.route_table import RouteTable, is_newer
+from celeryturn.decisions.request.splitting import Splitter
+from celeryturn.decisions.targets.directory import Directory
+from celeryturn.decisions.targets.entry_history import EntryHistory
+from celeryturn.decisions.targets.latency import LatencyWindow
+from celeryturn.decisions.targets.replicas import Replica
 from celeryturn.errors import CeleryturnError
 from celeryturn.events import (
     HEADER_IGNORED,
--- a/celeryturn/forwarding/store_watch.py
+++ b/celeryturn/forwarding/store_watch.py
@@ -4,14 +4,14 @@
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
-from celeryturn.decisions import directory
-from celeryturn.decisions.entry_history import (
+from celeryturn.decisions.fleet.membership import live_count
+from celeryturn.decisions.targets import directory
+from celeryturn.decisions.targets.entry_history import (
     record_change,
     record_list,
     record_removal,
 )
-from celeryturn.decisions.membership import live_count
-from celeryturn.decisions.replicas import TargetEntry
+from celeryturn.decisions.targets.replicas import TargetEntry
 from celeryturn.errors import CeleryturnError
 from celeryturn.events import ENTRY_UNUSABLE, STORE_BACK, STORE_LOST, log
 from celeryturn.forwarding import shared_state
--- a/celeryturn/instance.py
+++ b/celeryturn/instance.py
@@ -5,11 +5,15 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from celeryturn.decisions import adoption, membership, service_state
-from celeryturn.decisions.booking_table import BookingTable
-from celeryturn.decisions.document import PublishedDocument, parse_document
-from celeryturn.decisions.entry_history import EntryUpdate
-from celeryturn.decisions.freshness import Freshness
+from celeryturn.decisions.bookings.booking_table import BookingTable
+from celeryturn.decisions.configuration import adoption, service_state
+from celeryturn.decisions.configuration.document import (
+    PublishedDocument,
+    parse_document,
+)
+from celeryturn.decisions.configuration.freshness import Freshness
+from celeryturn.decisions.fleet import membership
+from celeryturn.decisions.targets.entry_history import EntryUpdate
 from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.events import ADOPTED, MEMBER_CHANGED, NOT_ADOPTED, log
 from celeryturn.metrics import Metrics
--- a/celeryturn/metrics.py
+++ b/celeryturn/metrics.py
@@ -5,7 +5,7 @@
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
-from celeryturn.decisions.messages import QueryAnswer
+from celeryturn.decisions.targets.messages import QueryAnswer
 from celeryturn.errors import Kind
 
 LATENCY_BUCKETS_SECONDS: Final = (
--- a/celeryturn/peers/handlers.py
+++ b/celeryturn/peers/handlers.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-from celeryturn.decisions.freshness import (
+from celeryturn.decisions.configuration.freshness import (
     PeerConfirmation,
     record_peer_confirmation,
 )
--- a/celeryturn/peers/messages.py
+++ b/celeryturn/peers/messages.py
@@ -6,8 +6,8 @@
 
 import cbor2
 
-from celeryturn.decisions.entry_history import EntryUpdate
-from celeryturn.decisions.membership import Member
+from celeryturn.decisions.fleet.membership import Member
+from celeryturn.decisions.targets.entry_history import EntryUpdate
 from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.schema import decode, encode
 from celeryturn.units import ClockSeconds, Count, Digest, Name
--- a/celeryturn/peers/network.py
+++ b/celeryturn/peers/network.py
@@ -8,8 +8,8 @@
 from websockets.asyncio.server import Server, serve
 from websockets.exceptions import WebSocketException
 
-from celeryturn.decisions import membership
-from celeryturn.decisions.document import PublishedDocument
+from celeryturn.decisions.configuration.document import PublishedDocument
+from celeryturn.decisions.fleet import membership
 from celeryturn.errors import CeleryturnError
 from celeryturn.events import PEER_REFUSED, log
 from celeryturn.instance import (
--- a/celeryturn/peers/seeds.py
+++ b/celeryturn/peers/seeds.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from celeryturn.decisions import membership
+from celeryturn.decisions.fleet import membership
 from celeryturn.settings import Endpoint
 
 NAME_PREFIX: Final = 'seed'
--- a/celeryturn/platform/documents.py
+++ b/celeryturn/platform/documents.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from celeryturn.decisions import route_table
-from celeryturn.decisions.replicas import TargetEntry
+from celeryturn.decisions.request import route_table
+from celeryturn.decisions.targets.replicas import TargetEntry
 from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.platform.node_settings import parse_endpoint
 from celeryturn.units import Fraction, Integer, PositiveCount
--- a/celeryturn/platform/node_settings.py
+++ b/celeryturn/platform/node_settings.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 from typing import Final
 
-from celeryturn.decisions.extra_load import ExtraLoadBounds
+from celeryturn.decisions.load.extra_load import ExtraLoadBounds
 from celeryturn.errors import CeleryturnError, Fault, Kind
 from celeryturn.forwarding.settings import ForwardingSettings, Grace
 from celeryturn.number_text import read_decimal, read_port
--- a/celeryturn/platform/service.py
+++ b/celeryturn/platform/service.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from celeryturn.decisions.membership import Member, Status
+from celeryturn.decisions.fleet.membership import Member, Status
 from celeryturn.platform.store import Changes, StoreError
 
 SERVICES_PREFIX: Final = 'services/'
--- a/celeryturn/platform/wire.py
+++ b/celeryturn/platform/wire.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from celeryturn.decisions.replicas import Load
-from celeryturn.decisions.replies import AttemptOutcome, TargetReply
+from celeryturn.decisions.request.replies import AttemptOutcome, TargetReply
+from celeryturn.decisions.targets.replicas import Load
 from celeryturn.http.messages import (
     Headers,
     HttpReply,
--- a/celeryturn/queries/dump.py
+++ b/celeryturn/queries/dump.py
@@ -2,9 +2,11 @@
 
 from typing import NamedTuple
 
-from celeryturn.decisions import booking_table, budget, limits, membership
-from celeryturn.decisions.service_state import ServiceState
-from celeryturn.decisions.views import TargetView
+from celeryturn.decisions.bookings import booking_table
+from celeryturn.decisions.configuration.service_state import ServiceState
+from celeryturn.decisions.fleet import membership
+from celeryturn.decisions.load import budget, limits
+from celeryturn.decisions.targets.views import TargetView
 from celeryturn.instance import MAX_SERVICE_COUNT, Instance
 from celeryturn.targets import links
 
--- a/celeryturn/queries/explain.py
+++ b/celeryturn/queries/explain.py
@@ -2,10 +2,10 @@
 
 from typing import NamedTuple
 
-from celeryturn.decisions import routing
-from celeryturn.decisions.planning import QueryRequest
-from celeryturn.decisions.service_state import ServiceState
-from celeryturn.decisions.views import TargetView, can_receive_work
+from celeryturn.decisions.configuration.service_state import ServiceState
+from celeryturn.decisions.request import routing
+from celeryturn.decisions.request.planning import QueryRequest
+from celeryturn.decisions.targets.views import TargetView, can_receive_work
 from celeryturn.instance import Instance, get_service
 from celeryturn.queries.read import plan
 
--- a/celeryturn/queries/probes.py
+++ b/celeryturn/queries/probes.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Final
 
-from celeryturn.decisions import service_state
+from celeryturn.decisions.configuration import service_state
 from celeryturn.instance import Instance
 
 MAX_WAIT_SECONDS: Final = 0.1
--- a/celeryturn/queries/read.py
+++ b/celeryturn/queries/read.py
@@ -1,14 +1,14 @@
 """Entry points of searches, quick-checks and record reads."""
 
-from celeryturn.decisions import service_state
-from celeryturn.decisions.admission import is_expected_late
-from celeryturn.decisions.messages import QueryAnswer
-from celeryturn.decisions.planning import (
+from celeryturn.decisions.configuration import service_state
+from celeryturn.decisions.load.admission import is_expected_late
+from celeryturn.decisions.request.planning import (
     QueryKind,
     QueryPlan,
     QueryRequest,
     plan_query,
 )
+from celeryturn.decisions.targets.messages import QueryAnswer
 from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.instance import Instance, get_service
 from celeryturn.metrics import count_answer
--- a/celeryturn/queries/routed_dump.py
+++ b/celeryturn/queries/routed_dump.py
@@ -2,8 +2,9 @@
 
 from typing import NamedTuple
 
-from celeryturn.decisions import directory, membership
-from celeryturn.decisions.replicas import Replica, decayed_slowness
+from celeryturn.decisions.fleet import membership
+from celeryturn.decisions.targets import directory
+from celeryturn.decisions.targets.replicas import Replica, decayed_slowness
 from celeryturn.forwarding import shared_state
 from celeryturn.forwarding.shared_state import SharedState
 from celeryturn.queries.dump import Bound
--- a/celeryturn/queries/runner.py
+++ b/celeryturn/queries/runner.py
@@ -1,23 +1,19 @@
 """Execution of one query.
 
-The actions that :mod:`celeryturn.decisions.query` returns are carried out as
-exchanges and timers, and the results are passed back as events.
+The actions that :mod:`celeryturn.decisions.request.query` returns are carried
+out as exchanges and timers, and the results are passed back as events.
 """
 
 import asyncio
 from typing import Final
 
-from celeryturn.decisions import (
-    course,
-    latency,
-    limits,
-    query,
-    service_state,
-    views,
-)
-from celeryturn.decisions.merging import merge
-from celeryturn.decisions.messages import QueryAnswer, Reply
-from celeryturn.decisions.planning import QueryPlan
+from celeryturn.decisions.configuration import service_state
+from celeryturn.decisions.load import limits
+from celeryturn.decisions.request import course, query
+from celeryturn.decisions.request.merging import merge
+from celeryturn.decisions.request.planning import QueryPlan
+from celeryturn.decisions.targets import latency, views
+from celeryturn.decisions.targets.messages import QueryAnswer, Reply
 from celeryturn.errors import CeleryturnError
 from celeryturn.events import TARGET_LEAVING, log
 from celeryturn.http.messages import HttpReply
--- a/celeryturn/targets/health_checks.py
+++ b/celeryturn/targets/health_checks.py
@@ -8,8 +8,8 @@
 import asyncio
 from typing import Final
 
-from celeryturn.decisions import views
-from celeryturn.decisions.service_state import ServiceState
+from celeryturn.decisions.configuration.service_state import ServiceState
+from celeryturn.decisions.targets import views
 from celeryturn.events import TARGET_RETURNED, log
 from celeryturn.http.client import fetch
 from celeryturn.http.messages import HttpRequest
--- a/celeryturn/targets/links.py
+++ b/celeryturn/targets/links.py
@@ -1,9 +1,9 @@
 """Links to targets: admission, connection pools, exchanges, cancellation.
 
-An exchange is admitted by :mod:`celeryturn.decisions.limits`, is assigned a
-connection, builds its request right before the write, and ends exactly once.
-A connection whose exchange was cancelled or whose reply was only partly read
-is closed and never reused.
+An exchange is admitted by :mod:`celeryturn.decisions.load.limits`, is assigned
+a connection, builds its request right before the write, and ends exactly once.
+A connection whose exchange was cancelled or whose reply was only partly read is
+closed and never reused.
 """
 
 import asyncio
@@ -11,9 +11,9 @@
 from collections.abc import Callable, Container
 from typing import Final, NamedTuple, TypeAlias
 
-from celeryturn.decisions import limits
-from celeryturn.decisions.document import Target
-from celeryturn.decisions.views import TargetView
+from celeryturn.decisions.configuration.document import Target
+from celeryturn.decisions.load import limits
+from celeryturn.decisions.targets.views import TargetView
 from celeryturn.errors import CeleryturnError
 from celeryturn.http.client import Connection, connect
 from celeryturn.http.messages import HttpReply, HttpRequest
--- a/celeryturn/targets/wire.py
+++ b/celeryturn/targets/wire.py
@@ -4,11 +4,11 @@
 
 import msgspec
 
-from celeryturn.decisions.booking import BookingPlan
-from celeryturn.decisions.messages import Record, Reply
-from celeryturn.decisions.planning import QueryPlan
-from celeryturn.decisions.course import Attempt, Failure
-from celeryturn.decisions.views import Report
+from celeryturn.decisions.bookings.booking import BookingPlan
+from celeryturn.decisions.request.course import Attempt, Failure
+from celeryturn.decisions.request.planning import QueryPlan
+from celeryturn.decisions.targets.messages import Record, Reply
+from celeryturn.decisions.targets.views import Report
 from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.http.messages import HttpReply, HttpRequest
 
--- a/celeryturn/watcher.py
+++ b/celeryturn/watcher.py
@@ -3,8 +3,9 @@
 import asyncio
 from typing import Final
 
-from celeryturn.decisions import membership, service_state
-from celeryturn.decisions.freshness import record_confirmation
+from celeryturn.decisions.configuration import service_state
+from celeryturn.decisions.configuration.freshness import record_confirmation
+from celeryturn.decisions.fleet import membership
 from celeryturn.events import (
     CONFIGURATION_LOST,
     CONFIGURATION_STALE,
--- a/models/adoption.py
+++ b/models/adoption.py
@@ -13,9 +13,12 @@
 
 from minicheck import Protocol
 
-from celeryturn.decisions.adoption import Adoption, adopt
-from celeryturn.decisions.document import Index as IndexVersion
-from celeryturn.decisions.document import PublishedDocument, ServiceDocument
+from celeryturn.decisions.configuration.adoption import Adoption, adopt
+from celeryturn.decisions.configuration.document import Index as IndexVersion
+from celeryturn.decisions.configuration.document import (
+    PublishedDocument,
+    ServiceDocument,
+)
 
 Adopt: TypeAlias = Callable[
     [PublishedDocument | None, PublishedDocument], Adoption
--- a/models/booking.py
+++ b/models/booking.py
@@ -10,15 +10,19 @@
 
 from minicheck import Protocol
 
-from celeryturn.decisions.booking import (
+from celeryturn.decisions.bookings.booking import (
     BookingPlan,
     KnownState,
     SendProgress,
     failure_kind,
     write_refusal_kind,
 )
-from celeryturn.decisions.document import Home, ServiceDocument, Shard
-from celeryturn.decisions.document import Index as IndexVersion
+from celeryturn.decisions.configuration.document import (
+    Home,
+    ServiceDocument,
+    Shard,
+)
+from celeryturn.decisions.configuration.document import Index as IndexVersion
 from celeryturn.errors import ANSWERS, Kind, Run
 from celeryturn.units import HASH_SLOT_COUNT
 
--- a/models/check.py
+++ b/models/check.py
@@ -8,7 +8,7 @@
 import msgspec
 from minicheck import Protocol, check_liveness, check_safety
 
-from celeryturn.decisions import adoption as adoption_decisions
+from celeryturn.decisions.configuration import adoption as adoption_decisions
 from celeryturn.tables import format_table
 from models import adoption, booking, forwarded, leaving, query
 from standins.topology import ServiceSize, User, build_document
--- a/models/forwarded.py
+++ b/models/forwarded.py
@@ -10,10 +10,16 @@
 
 from minicheck import Protocol
 
-from celeryturn.decisions import directory, extra_load, legs, sharded
-from celeryturn.decisions.directory import Directory
-from celeryturn.decisions.replicas import ExpectedLatency, Replica, TargetEntry
-from celeryturn.decisions.replies import AttemptOutcome, TargetReply
+from celeryturn.decisions.load import extra_load
+from celeryturn.decisions.request import legs, sharded
+from celeryturn.decisions.request.replies import AttemptOutcome, TargetReply
+from celeryturn.decisions.targets import directory
+from celeryturn.decisions.targets.directory import Directory
+from celeryturn.decisions.targets.replicas import (
+    ExpectedLatency,
+    Replica,
+    TargetEntry,
+)
 from models.replay import Event, Trace, build_transition_system
 
 Serving: TypeAlias = Callable[[Directory, str], Sequence[Replica]]
--- a/models/leaving.py
+++ b/models/leaving.py
@@ -10,16 +10,20 @@
 
 from minicheck import Protocol
 
-from celeryturn.decisions.advice import advise
-from celeryturn.decisions.membership import (
+from celeryturn.decisions.fleet.advice import advise
+from celeryturn.decisions.fleet.membership import (
     Member,
     Membership,
     Status,
     leave,
     merge_entries,
 )
-from celeryturn.decisions.routing import rank_replicas
-from celeryturn.decisions.views import Report, TargetView, observe_report
+from celeryturn.decisions.request.routing import rank_replicas
+from celeryturn.decisions.targets.views import (
+    Report,
+    TargetView,
+    observe_report,
+)
 
 AdviceCheck: TypeAlias = Callable[[Member], bool]
 WorkCheck: TypeAlias = Callable[[Report], bool]
--- a/models/query.py
+++ b/models/query.py
@@ -10,17 +10,18 @@
 
 from minicheck import Protocol
 
-from celeryturn.decisions import course, query, service_state
-from celeryturn.decisions.document import parse_document
-from celeryturn.decisions.merging import merge
-from celeryturn.decisions.messages import Record, Reply
-from celeryturn.decisions.planning import (
+from celeryturn.decisions.configuration import service_state
+from celeryturn.decisions.configuration.document import parse_document
+from celeryturn.decisions.request import course, query
+from celeryturn.decisions.request.merging import merge
+from celeryturn.decisions.request.planning import (
     QueryKind,
     QueryRequest,
     SnapshotChoice,
     plan_query,
 )
-from celeryturn.decisions.views import Report, observe_report
+from celeryturn.decisions.targets.messages import Record, Reply
+from celeryturn.decisions.targets.views import Report, observe_report
 from models.replay import Event, Trace, build_transition_system
 
 OnReply: TypeAlias = Callable[
--- a/standins/target.py
+++ b/standins/target.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from celeryturn.decisions.messages import Record
+from celeryturn.decisions.targets.messages import Record
 from celeryturn.entry.refusals import refusal_reply
 from celeryturn.http.messages import (
     HttpReply,
--- a/standins/topology.py
+++ b/standins/topology.py
@@ -5,8 +5,8 @@
 from types import MappingProxyType
 from typing import Any, Final, NamedTuple
 
-from celeryturn.decisions.document import Index, shard_of
-from celeryturn.decisions.messages import Record
+from celeryturn.decisions.configuration.document import Index, shard_of
+from celeryturn.decisions.targets.messages import Record
 from celeryturn.schema import decode
 from celeryturn.units import HASH_SLOT_COUNT
 
--- a/tests/steps/answers.py
+++ b/tests/steps/answers.py
@@ -5,7 +5,7 @@
 from behave import then, when
 from behave.runner import Context
 
-from celeryturn.decisions.planning import QueryKind, QueryRequest
+from celeryturn.decisions.request.planning import QueryKind, QueryRequest
 from celeryturn.errors import CeleryturnError, Run
 from celeryturn.queries import read as reading
 from celeryturn.queries.probes import begin_probe, end_probe
--- a/tests/steps/booking.py
+++ b/tests/steps/booking.py
@@ -7,7 +7,10 @@
 from behave import then, when
 from behave.runner import Context
 
-from celeryturn.decisions.booking_table import IN_FLIGHT, earlier_outcome
+from celeryturn.decisions.bookings.booking_table import (
+    IN_FLIGHT,
+    earlier_outcome,
+)
 from celeryturn.http.messages import HttpRequest
 from tests.support.world import until
 
--- a/tests/steps/decoders.py
+++ b/tests/steps/decoders.py
@@ -15,13 +15,17 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from celeryturn.decisions.document import Index, parse_document, shard_of
-from celeryturn.decisions.entry_history import EntryUpdate
-from celeryturn.decisions.membership import Member, Status
-from celeryturn.decisions.replicas import TargetEntry
+from celeryturn import number_text
+from celeryturn.decisions.configuration.document import (
+    Index,
+    parse_document,
+    shard_of,
+)
+from celeryturn.decisions.fleet.membership import Member, Status
+from celeryturn.decisions.targets.entry_history import EntryUpdate
+from celeryturn.decisions.targets.replicas import TargetEntry
 from celeryturn.entry.bodies import BookBody, SearchBody, read_body
 from celeryturn.errors import CeleryturnError
-from celeryturn import number_text
 from celeryturn.http.client import Connection
 from celeryturn.http.messages import HttpReply, HttpRequest
 from celeryturn.peers import messages
--- a/tests/steps/directory.py
+++ b/tests/steps/directory.py
@@ -3,8 +3,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from celeryturn.decisions import directory
-from celeryturn.decisions.replicas import TargetEntry
+from celeryturn.decisions.targets import directory
+from celeryturn.decisions.targets.replicas import TargetEntry
 from tests.support.entries import make_entry
 
 START_SECONDS = 1000.0
--- a/tests/steps/fleet.py
+++ b/tests/steps/fleet.py
@@ -12,8 +12,8 @@
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import ConnectionClosed
 
-from celeryturn.decisions.membership import Status
-from celeryturn.decisions.views import can_receive_work
+from celeryturn.decisions.fleet.membership import Status
+from celeryturn.decisions.targets.views import can_receive_work
 from celeryturn.instance import current_versions, offer_document
 from celeryturn.peers.messages import PROTOCOL_VERSION
 from tests.support.world import ADDRESS, until
--- a/tests/steps/forward.py
+++ b/tests/steps/forward.py
@@ -11,8 +11,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from celeryturn.decisions import directory
-from celeryturn.decisions.replicas import Replica
+from celeryturn.decisions.targets import directory
+from celeryturn.decisions.targets.replicas import Replica
 from celeryturn.forwarding import shared_state, store_watch
 from celeryturn.forwarding.app import ForwardingApplication
 from celeryturn.forwarding.shared_state import SharedState, StoreProgress
--- a/tests/steps/guarantees.py
+++ b/tests/steps/guarantees.py
@@ -15,7 +15,7 @@
 from bench.model.guarantees import find_violations
 from bench.model.policies import CURRENT, POLICIES
 from bench.model.targets import ModelTarget, TargetParameters
-from celeryturn.decisions import sharded
+from celeryturn.decisions.request import sharded
 
 DAY_PARAMETERS = DayParameters(
     instance_count=5,
@@ -187,15 +187,18 @@
 
 def _remove_guard(guard: str) -> Any:
     changes = {
-        'extra load': ('celeryturn.decisions.sharded.MAX_SENDS_PER_LEG', 4),
+        'extra load': (
+            'celeryturn.decisions.request.sharded.MAX_SENDS_PER_LEG',
+            4,
+        ),
         'retries': (
-            'celeryturn.decisions.sharded._may_retry',
+            'celeryturn.decisions.request.sharded._may_retry',
             lambda request, leg: (
                 len(leg.tried_targets) < sharded.MAX_SENDS_PER_LEG
             ),
         ),
         'run status': (
-            'celeryturn.decisions.sharded.may_have_run',
+            'celeryturn.decisions.request.sharded.may_have_run',
             lambda request: False,
         ),
         'draining': ('bench.model.instances.LIST_DELAY_SECONDS', math.inf),
--- a/tests/steps/latency.py
+++ b/tests/steps/latency.py
@@ -3,7 +3,7 @@
 from behave import given, then
 from behave.runner import Context
 
-from celeryturn.decisions import latency
+from celeryturn.decisions.targets import latency
 
 START_SECONDS = 1000.0
 
--- a/tests/steps/members.py
+++ b/tests/steps/members.py
@@ -5,15 +5,15 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from celeryturn.decisions import membership
-from celeryturn.decisions.advice import advise
-from celeryturn.decisions.freshness import (
+from celeryturn.decisions.configuration.freshness import (
     Freshness,
     PeerConfirmation,
     record_confirmation,
     record_peer_confirmation,
 )
-from celeryturn.decisions.membership import Member, Status
+from celeryturn.decisions.fleet import membership
+from celeryturn.decisions.fleet.advice import advise
+from celeryturn.decisions.fleet.membership import Member, Status
 from tests.support.documents import ZONES
 
 NOW_SECONDS = 1000.0
--- a/tests/steps/query.py
+++ b/tests/steps/query.py
@@ -3,11 +3,11 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from celeryturn.decisions import query
-from celeryturn.decisions.course import Attempt
-from celeryturn.decisions.messages import Reply
-from celeryturn.decisions.planning import SnapshotChoice
-from celeryturn.decisions.views import (
+from celeryturn.decisions.request import query
+from celeryturn.decisions.request.course import Attempt
+from celeryturn.decisions.request.planning import SnapshotChoice
+from celeryturn.decisions.targets.messages import Reply
+from celeryturn.decisions.targets.views import (
     EJECT_AFTER_FAILURES,
     Report,
     observe_failure,
--- a/tests/steps/replicas.py
+++ b/tests/steps/replicas.py
@@ -5,8 +5,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from celeryturn.decisions import replicas
-from celeryturn.decisions.connection_shares import connection_share
+from celeryturn.decisions.load.connection_shares import connection_share
+from celeryturn.decisions.targets import replicas
 from tests.support.entries import make_entry
 
 START_SECONDS = 1000.0
--- a/tests/steps/requests.py
+++ b/tests/steps/requests.py
@@ -9,8 +9,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from celeryturn.decisions.document import Index, shard_of
-from celeryturn.decisions.messages import Record
+from celeryturn.decisions.configuration.document import Index, shard_of
+from celeryturn.decisions.targets.messages import Record
 from celeryturn.http.client import Connection
 from celeryturn.http.messages import HttpReply, HttpRequest
 from celeryturn.instance import Instance
--- a/tests/steps/retry_after.py
+++ b/tests/steps/retry_after.py
@@ -5,8 +5,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from celeryturn.decisions import retry_after
-from celeryturn.decisions.replicas import (
+from celeryturn.decisions.request import retry_after
+from celeryturn.decisions.targets.replicas import (
     ExpectedLatency,
     Load,
     Replica,
--- a/tests/steps/routes.py
+++ b/tests/steps/routes.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from celeryturn.decisions import caller_timeouts, route_table, splitting
+from celeryturn.decisions.request import caller_timeouts, route_table, splitting
 
 HOST = 'trips.example'
 OBJECTIVE_SECONDS = 0.25
--- a/tests/steps/sharded.py
+++ b/tests/steps/sharded.py
@@ -8,9 +8,10 @@
 from behave.runner import Context
 from parse import with_pattern
 
-from celeryturn.decisions import extra_load, legs, sharded
-from celeryturn.decisions.replicas import ExpectedLatency, Replica
-from celeryturn.decisions.replies import AttemptOutcome, TargetReply
+from celeryturn.decisions.load import extra_load
+from celeryturn.decisions.request import legs, sharded
+from celeryturn.decisions.request.replies import AttemptOutcome, TargetReply
+from celeryturn.decisions.targets.replicas import ExpectedLatency, Replica
 from tests.support.entries import make_entry
 
 START_SECONDS = 1000.0
--- a/tests/steps/story.py
+++ b/tests/steps/story.py
@@ -10,7 +10,7 @@
 
 from celeryturn import cli
 from celeryturn import log_analysis as stories
-from celeryturn.decisions import line_budget
+from celeryturn.decisions.load import line_budget
 from celeryturn.log_stream import MAX_BUFFERED_BYTES, LogStream
 from tests.support.routed import RoutedWorld, plain_route
 
--- a/tests/steps/system.py
+++ b/tests/steps/system.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from celeryturn.decisions.document import MAX_DOCUMENT_BYTES
+from celeryturn.decisions.configuration.document import MAX_DOCUMENT_BYTES
 from celeryturn.instance import current_versions
 from celeryturn.settings import Endpoint
 from examples.fleet import find_free_ports
--- a/tests/steps/targets.py
+++ b/tests/steps/targets.py
@@ -5,8 +5,9 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from celeryturn.decisions import admission, limits, views
-from celeryturn.decisions.routing import rank_replicas
+from celeryturn.decisions.load import admission, limits
+from celeryturn.decisions.request.routing import rank_replicas
+from celeryturn.decisions.targets import views
 
 NOW_SECONDS = 1000.0
 SEED = 3
--- a/tests/steps/unequal_machines.py
+++ b/tests/steps/unequal_machines.py
@@ -5,9 +5,10 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from celeryturn.decisions import busyness, extra_load, fleet_share, membership
-from celeryturn.decisions.advice import advise_zone
-from celeryturn.decisions.membership import Member, Status
+from celeryturn.decisions.fleet import membership
+from celeryturn.decisions.fleet.advice import advise_zone
+from celeryturn.decisions.fleet.membership import Member, Status
+from celeryturn.decisions.load import busyness, extra_load, fleet_share
 
 START_SECONDS = 1000.0
 STEPS_PER_SECOND = 10
--- a/tests/steps/writes.py
+++ b/tests/steps/writes.py
@@ -5,8 +5,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from celeryturn.decisions import booking, booking_table
-from celeryturn.decisions.document import Home
+from celeryturn.decisions.bookings import booking, booking_table
+from celeryturn.decisions.configuration.document import Home
 from celeryturn.errors import ANSWERS
 from tests.support.documents import make_published, raw_document
 
--- a/tests/support/documents.py
+++ b/tests/support/documents.py
@@ -4,7 +4,10 @@
 
 import msgspec
 
-from celeryturn.decisions.document import PublishedDocument, parse_document
+from celeryturn.decisions.configuration.document import (
+    PublishedDocument,
+    parse_document,
+)
 from celeryturn.units import HASH_SLOT_COUNT
 
 ZONES: Final = ('zone-a', 'zone-b', 'zone-c')
--- a/tests/support/entries.py
+++ b/tests/support/entries.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from celeryturn.decisions.replicas import TargetEntry
+from celeryturn.decisions.targets.replicas import TargetEntry
 
 
 def make_entry(target: str, **fields: Any) -> TargetEntry:
--- a/tests/support/routed.py
+++ b/tests/support/routed.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from celeryturn.decisions.extra_load import ExtraLoadBounds
+from celeryturn.decisions.load.extra_load import ExtraLoadBounds
 from celeryturn.forwarding.app import ForwardingApplication
 from celeryturn.forwarding.settings import ForwardingSettings, Grace
 from celeryturn.http.client import Connection, connect
--- a/tests/support/simulated_query.py
+++ b/tests/support/simulated_query.py
@@ -2,11 +2,16 @@
 
 import random
 
-from celeryturn.decisions import course, query, service_state
-from celeryturn.decisions.merging import merge
-from celeryturn.decisions.messages import QueryAnswer, Record, Reply
-from celeryturn.decisions.planning import QueryKind, QueryRequest, plan_query
-from celeryturn.decisions.views import Report
+from celeryturn.decisions.configuration import service_state
+from celeryturn.decisions.request import course, query
+from celeryturn.decisions.request.merging import merge
+from celeryturn.decisions.request.planning import (
+    QueryKind,
+    QueryRequest,
+    plan_query,
+)
+from celeryturn.decisions.targets.messages import QueryAnswer, Record, Reply
+from celeryturn.decisions.targets.views import Report
 from tests.support.documents import make_published
 
 SEED = 7
