Names around a revision that the watch does not report

A check reports a later revision as a peer does, so that "peer" no longer says what the event, the error and the function are about. The log line of a changed member tells its capacity and whether it is busy.

--- a/celeryturn/forwarding/app.py
+++ b/celeryturn/forwarding/app.py
@@ -27,7 +27,7 @@
 )
 from celeryturn.forwarding.settings import ForwardingSettings
 from celeryturn.forwarding.store_watch import (
-    note_peer_revision,
+    note_revision,
     run_housekeeping,
     watch_store,
 )
@@ -68,9 +68,7 @@
             body=lambda: self.shared.table_body,
             offer=self._offer_table,
             revision=lambda: self.shared.progress.revision,
-            note_peer_revision=lambda revision: note_peer_revision(
-                self.shared, revision
-            ),
+            note_revision=lambda revision: note_revision(self.shared, revision),
             lacks_routes_or_targets=lambda: lacks_routes_or_targets(
                 self.shared
             ),
--- a/celeryturn/forwarding/shared_state.py
+++ b/celeryturn/forwarding/shared_state.py
@@ -40,7 +40,8 @@
     :param last_contact_seconds: Time of the last response of the store; before
         the first one, the start of this instance.
     :param failed_count: Number of consecutive failed calls, up to a maximum.
-    :param peer_ahead: Set when a peer has had a later revision for too long.
+    :param is_behind: Set when a peer or a check has shown a later revision for
+        too long.
     :param peer_revision: Revision up to which peers have sent the list of
         targets.
     :param last_peer_request_seconds: Time of the last request to a peer for
@@ -51,10 +52,10 @@
     __slots__ = (
         'failed_count',
         'history',
+        'is_behind',
         'is_lost',
         'last_contact_seconds',
         'last_peer_request_seconds',
-        'peer_ahead',
         'peer_revision',
         'revision',
     )
@@ -64,7 +65,7 @@
         self.is_lost = False
         self.last_contact_seconds = started_seconds
         self.failed_count = 0
-        self.peer_ahead = asyncio.Event()
+        self.is_behind = asyncio.Event()
         self.peer_revision = 0
         self.history = EntryHistory()
         self.last_peer_request_seconds = 0.0
--- a/celeryturn/forwarding/store_watch.py
+++ b/celeryturn/forwarding/store_watch.py
@@ -50,13 +50,13 @@
 MIN_CHANGE_PAUSE_SECONDS: Final = 0.4
 CHANGE_PAUSE_PER_INSTANCE_SECONDS: Final = 0.02
 MAX_CHANGE_PAUSE_SECONDS: Final = 1.2
-BEHIND_PEER_GRACE_SECONDS: Final = 0.8
+BEHIND_GRACE_SECONDS: Final = 0.8
 HOUSEKEEPING_INTERVAL_SECONDS: Final = 0.25
 MAX_IDLE_SECONDS: Final = 8.0
 
 
-class BehindPeerError(StoreError):
-    """A peer has read a later revision of the store than this instance."""
+class BehindStoreError(StoreError):
+    """The store has a later revision, which the watch does not report."""
 
 
 class StoreClients(NamedTuple):
@@ -85,26 +85,26 @@
         clients.checker.close()
 
 
-def note_peer_revision(shared: SharedState, peer_revision: int) -> None:
-    """Start a new watch if this instance remains behind a peer.
+def note_revision(shared: SharedState, later_revision: int) -> None:
+    """Start a new watch if this instance remains behind the store.
 
     A watch on a connection that appears open may never be answered.  The new
-    watch is started if this instance is still behind the peer after
-    :data:`BEHIND_PEER_GRACE_SECONDS`.
+    watch is started if this instance is still behind after
+    :data:`BEHIND_GRACE_SECONDS`.
 
     :param shared: Shared state of the instance.
-    :param peer_revision: Revision up to which the peer has read the store.
+    :param later_revision: Revision that a peer or a check has read.
     """
     progress = shared.progress
-    if peer_revision <= progress.revision or not progress.revision:
+    if later_revision <= progress.revision or not progress.revision:
         return
 
     def restart_if_behind() -> None:
-        if progress.revision < peer_revision:
-            progress.peer_ahead.set()
+        if progress.revision < later_revision:
+            progress.is_behind.set()
 
     asyncio.get_running_loop().call_later(
-        BEHIND_PEER_GRACE_SECONDS, restart_if_behind
+        BEHIND_GRACE_SECONDS, restart_if_behind
     )
 
 
@@ -167,7 +167,7 @@
 
 async def _watch(shared: SharedState, clients: StoreClients) -> Changes:
     progress = shared.progress
-    progress.peer_ahead.clear()
+    progress.is_behind.clear()
     loop = asyncio.get_running_loop()
     wait_seconds, slack_seconds = watch_timeouts(progress)
     watch_task = loop.create_task(
@@ -175,9 +175,9 @@
             '', progress.revision, wait_seconds, slack_seconds
         )
     )
-    behind_peer_task = loop.create_task(progress.peer_ahead.wait())
+    behind_task = loop.create_task(progress.is_behind.wait())
     check_task = loop.create_task(_check_store(shared, clients.checker))
-    tasks = (watch_task, behind_peer_task, check_task)
+    tasks = (watch_task, behind_task, check_task)
     try:
         await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
     finally:
@@ -187,7 +187,7 @@
     for task in (watch_task, check_task):
         if not task.cancelled():
             return task.result()
-    raise BehindPeerError('a peer has read a later revision of the store')
+    raise BehindStoreError('the watch does not report a later revision')
 
 
 async def _check_store(shared: SharedState, checker: StoreClient) -> Changes:
@@ -196,7 +196,7 @@
         await asyncio.sleep(CHECK_INTERVAL_SECONDS)
         revision = await checker.read_revision(WATCH_SLACK_SECONDS)
         shared.progress.last_contact_seconds = shared_state.now()
-        note_peer_revision(shared, revision)
+        note_revision(shared, revision)
 
 
 def watch_timeouts(progress: StoreProgress) -> tuple[float, float]:
--- a/celeryturn/instance.py
+++ b/celeryturn/instance.py
@@ -30,8 +30,7 @@
     :param body: Returns the routes as they were published.
     :param offer: Applies the routes of a peer.
     :param revision: Returns the revision up to which the store was read.
-    :param note_peer_revision: Records the revision up to which a peer has read
-        the store.
+    :param note_revision: Records a revision that a peer has read.
     :param lacks_routes_or_targets: Returns whether routes or targets are still
         unknown.
     :param revision_to_request: Returns the revision since which targets are
@@ -46,7 +45,7 @@
     body: Callable[[], bytes]
     offer: Callable[[bytes], None]
     revision: Callable[[], int]
-    note_peer_revision: Callable[[int], None]
+    note_revision: Callable[[int], None]
     lacks_routes_or_targets: Callable[[], bool]
     revision_to_request: Callable[[int], int | None]
     collect_update: Callable[[int], EntryUpdate | None]
@@ -66,7 +65,7 @@
     body=bytes,
     offer=_ignore,
     revision=int,
-    note_peer_revision=_ignore,
+    note_revision=_ignore,
     lacks_routes_or_targets=bool,
     revision_to_request=_return_none,
     collect_update=_return_none,
@@ -203,6 +202,8 @@
             instance=member.instance,
             status=str(member.status),
             incarnation=member.incarnation,
+            capacity_per_second=member.capacity_per_second,
+            is_busy=member.is_busy,
         )
 
 
--- a/celeryturn/peers/handlers.py
+++ b/celeryturn/peers/handlers.py
@@ -127,7 +127,7 @@
 def _request_newer_table(
     instance: Instance, message: messages.Ping | messages.Pong
 ) -> Iterator[messages.TableRequest]:
-    instance.routes.note_peer_revision(message.store_revision)
+    instance.routes.note_revision(message.store_revision)
     if message.table_version > instance.routes.version():
         yield messages.TableRequest(message.table_version)
 
