--- a/tests/support/routed.py
+++ b/tests/support/routed.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
 import msgspec
+from behave.runner import Context
 
 from celeryturn.decisions.load.extra_load import ExtraLoadBounds
 from celeryturn.forwarding.app import ForwardingApplication
@@ -19,6 +20,7 @@
 
 ADDRESS: Final = '127.0.0.1'
 HOST: Final = 'trips.example'
+SERVICE: Final = 'bookings'
 ZONE: Final = 'near'
 WAIT_SECONDS: Final = 15.0
 POLL_SECONDS: Final = 0.005
@@ -182,6 +184,17 @@
         )
 
 
+def run(context: Context, coroutine: Coroutine[Any, Any, Any]) -> Any:
+    """Run a coroutine on the event loop of the scenario."""
+    return context.loop.run_until_complete(coroutine)
+
+
+def get_world(context: Context) -> RoutedWorld:
+    """Return the store, targets and instances of the scenario."""
+    world: RoutedWorld = context.routed
+    return world
+
+
 def plain_route(service: str, prefix: str = '/one/', **fields: Any) -> Any:
     """Build a route to one service."""
     return _route(prefix, {'Service': service, **fields})
