--- a/tests/platform/numbers.feature
+++ b/tests/platform/numbers.feature
@@ -77,6 +77,18 @@
       | Sequence   | 99999999999999999999   |
       | born       | 1.5                    |
 
+  Scenario Outline: Entries that a peer tells and that are not usable
+    Then a peer's entry with <field> <json> is refused
+
+    Examples:
+      | field        | json                 |
+      | port         | 0                    |
+      | port         | 99999                |
+      | slot_count   | 0                    |
+      | cold_seconds | -1                   |
+      | cold_seconds | 1e300                |
+      | sequence     | 99999999999999999999 |
+
   Scenario Outline: Routes that are not usable
     Then a route with <field> <json> is not adopted
 
--- a/tests/steps/numbers.py
+++ b/tests/steps/numbers.py
@@ -4,14 +4,18 @@
 from collections.abc import Mapping
 from typing import Any
 
+import cbor2
 import msgspec
 from behave import then
 from behave.runner import Context
 
+from celeryturn.decisions.targets.entry_history import EntryUpdate
 from celeryturn.errors import CeleryturnError
 from celeryturn.http.client import Connection
 from celeryturn.http.messages import HttpReply, HttpRequest
+from celeryturn.peers import messages
 from celeryturn.platform import documents, node_settings, wire
+from tests.support.entries import make_entry
 from tests.support.routed import plain_route
 from tests.support.store_values import VALID_ENTRY, valid_table
 
@@ -99,6 +103,22 @@
     _expect_invalid(lambda: documents.decode_entry('t', entry))
 
 
+@then("a peer's entry with {field:w} {text} is refused")
+def expect_refused_entry(context: Context, field: str, text: str) -> None:
+    """Check that a valid message becomes invalid by one field."""
+    update = EntryUpdate(1, True, (make_entry('t'),), ())
+    message = cbor2.loads(messages.pack(messages.TargetList(update)))
+    messages.unpack(cbor2.dumps(message))
+    entry = message['fields']['listed']['entries'][0]
+    entry[field] = msgspec.json.decode(text)
+    try:
+        messages.unpack(cbor2.dumps(message))
+    except CeleryturnError as error:
+        assert error.answer.code == 'CT-401', error
+    else:
+        raise AssertionError(f'{field} {text} was accepted')
+
+
 @then('a route with {field:w} {text} is not adopted')
 def expect_no_route(context: Context, field: str, text: str) -> None:
     """Check that a valid table becomes invalid by one field of a route."""
