Targets that announce their departure, or ask for a time without requests

Cause: both are new on the users' platform; an instance learned of a departure from the store only, and a retry time of a target was ignored. What waited for a connection to a target was sent to it even after the target had gone from the list. Change: departures are kept by incarnation of the target, excluded from every choice and told to peers, also on a new link; waiting exchanges end as not sent. A retry time holds for one instance, is limited to a minute, and is passed on to callers when no other target is left. Replaced in a test: a load header was reported as ignored also when valid; now exactly when it is.

--- a/celeryturn/decisions/request/replies.py
+++ b/celeryturn/decisions/request/replies.py
@@ -31,9 +31,14 @@
         is none.
     :param body: Body of the reply.
     :param load: Load that the target reports, if any.
+    :param is_leaving: Whether the target announces its departure.
+    :param retry_after_seconds: Time for which the target wants no requests
+        from this instance.
     """
 
     attempt_outcome: AttemptOutcome
     signature: str = ''
     body: bytes = b''
     load: Load | None = None
+    is_leaving: bool = False
+    retry_after_seconds: float = 0.0
--- a/celeryturn/decisions/request/retry_after.py
+++ b/celeryturn/decisions/request/retry_after.py
@@ -12,6 +12,7 @@
 from celeryturn.decisions.targets.replicas import (
     ExpectedLatency,
     Replica,
+    available_at_seconds,
     expected_seconds,
 )
 
@@ -53,7 +54,7 @@
     return min(
         (
             max(
-                replica.blocked_until_seconds - now_seconds,
+                available_at_seconds(replica) - now_seconds,
                 expected_seconds(replica, expected, now_seconds),
             )
             for replica in replicas
@@ -62,6 +63,25 @@
     )
 
 
+def seconds_until_wanted(
+    replicas: Iterable[Replica], now_seconds: float
+) -> float:
+    """Return when a target of a service wants requests from this instance.
+
+    :param replicas: Targets of the service.
+    :param now_seconds: Current time.
+    :returns: Seconds; zero if a target wants requests now, or if there is no
+        target.
+    """
+    return max(
+        0.0,
+        min(
+            (replica.retry_at_seconds - now_seconds for replica in replicas),
+            default=0.0,
+        ),
+    )
+
+
 def capacity_retry_seconds(
     capacity_seconds: Iterable[float], min_count: int, random_fraction: float
 ) -> float | None:
@@ -79,6 +99,22 @@
     return _spread(needed_seconds, random_fraction)
 
 
+def wanted_retry_seconds(
+    wanted_seconds: Iterable[float], min_count: int, random_fraction: float
+) -> float:
+    """Return the retry time for a request that targets do not want yet.
+
+    :param wanted_seconds: Seconds until a target of each service wants
+        requests from this instance.
+    :param min_count: Number of services needed.
+    :param random_fraction: Between 0 and 1; spreads callers.
+    :returns: Seconds, never less than the targets asked for; zero if enough
+        services want requests now.
+    """
+    needed_seconds = sorted(wanted_seconds)[min_count - 1]
+    return needed_seconds * (1 + (MAX_SPREAD_RATIO - 1) * random_fraction)
+
+
 def _spread(seconds: float, random_fraction: float) -> float:
     bounded_seconds = min(max(seconds, MIN_BASE_SECONDS), MAX_BASE_SECONDS)
     return bounded_seconds * (
--- /dev/null
+++ b/celeryturn/decisions/targets/departures.py
@@ -0,0 +1,77 @@
+"""Targets that have announced their departure."""
+
+from collections.abc import Iterable, Iterator
+from typing import Final, NamedTuple
+
+from celeryturn.units import Integer
+
+MAX_LEAVING: Final = 4096
+
+
+class TargetIncarnation(NamedTuple):
+    """One start of a target.
+
+    :param target: Identifier of the target.
+    :param born_ms: Unix time of its start.
+    """
+
+    target: str
+    born_ms: Integer
+
+
+class Departures:
+    """Targets that have announced their departure.
+
+    :param born_ms: Unix time of the start of the incarnation that is leaving,
+        by target, the oldest announcement first.
+    """
+
+    __slots__ = ('born_ms',)
+
+    def __init__(self) -> None:
+        self.born_ms: dict[str, int] = {}
+
+
+def record_leaving(
+    departures: Departures, incarnation: TargetIncarnation
+) -> bool:
+    """Record that a target is leaving.
+
+    At most :data:`MAX_LEAVING` targets are kept; the oldest is dropped.
+
+    :param departures: Known departures.
+    :param incarnation: The incarnation that is leaving.
+    :returns: Whether this was not known before.
+    """
+    if is_leaving(departures, incarnation):
+        return False
+    departures.born_ms.pop(incarnation.target, None)
+    departures.born_ms[incarnation.target] = incarnation.born_ms
+    if len(departures.born_ms) > MAX_LEAVING:
+        departures.born_ms.pop(next(iter(departures.born_ms)))
+    return True
+
+
+def is_leaving(departures: Departures, incarnation: TargetIncarnation) -> bool:
+    """Return whether a target has announced its departure.
+
+    :param departures: Known departures.
+    :param incarnation: The incarnation in question.
+    :returns: Whether this incarnation, not an earlier or later one, is leaving.
+    """
+    return departures.born_ms.get(incarnation.target) == incarnation.born_ms
+
+
+def list_leaving(
+    departures: Departures, listed: Iterable[str]
+) -> Iterator[TargetIncarnation]:
+    """List the departures of targets that still have an entry.
+
+    :param departures: Known departures.
+    :param listed: Identifiers of the targets that have an entry.
+    :returns: The incarnations that are leaving.
+    """
+    for target in listed:
+        born_ms = departures.born_ms.get(target)
+        if born_ms is not None:
+            yield TargetIncarnation(target, born_ms)
--- a/celeryturn/decisions/targets/directory.py
+++ b/celeryturn/decisions/targets/directory.py
@@ -3,6 +3,11 @@
 from collections.abc import Iterable, Mapping
 from typing import Final
 
+from celeryturn.decisions.targets.departures import (
+    Departures,
+    TargetIncarnation,
+    is_leaving,
+)
 from celeryturn.decisions.targets.replicas import Replica, TargetEntry
 
 MISSING_GRACE_SECONDS: Final = 2.2
@@ -19,11 +24,13 @@
     :param services: Service of each target.
     :param drop_at_seconds: Time at which each target with a missing entry is
         dropped.
+    :param departures: Targets that have announced their departure.
     :param trusted_after_seconds: Time before which an entry may be missing only
         because of an outage of the store, and may reappear.
     """
 
     __slots__ = (
+        'departures',
         'drop_at_seconds',
         'replicas',
         'services',
@@ -34,6 +41,7 @@
         self.replicas: dict[str, dict[str, Replica]] = {}
         self.services: dict[str, str] = {}
         self.drop_at_seconds: dict[str, float] = {}
+        self.departures = Departures()
         self.trusted_after_seconds = 0.0
 
 
@@ -158,16 +166,30 @@
 
     :param directory: Known targets.
     :param service: Name of the service.
-    :returns: Targets that are not draining.
+    :returns: Targets that are neither draining nor announced their departure.
     """
     known = directory.replicas.get(service)
     if known is None:
         return []
     return [
-        replica for replica in known.values() if not replica.entry.is_draining
+        replica
+        for replica in known.values()
+        if _is_serving(directory, replica.entry)
     ]
 
 
+def accepts_requests(directory: Directory, target: str) -> bool:
+    """Return whether a target accepts requests.
+
+    :param directory: Known targets.
+    :param target: Identifier of the target.
+    :returns: Whether it is known, is not draining and has not announced its
+        departure.
+    """
+    replica = find_replica(directory, target)
+    return replica is not None and _is_serving(directory, replica.entry)
+
+
 def find_replica(directory: Directory, target: str) -> Replica | None:
     """Find a target by its identifier.
 
@@ -199,6 +221,13 @@
     return known is not None and known.entry.is_draining
 
 
+def _is_serving(directory: Directory, entry: TargetEntry) -> bool:
+    incarnation = TargetIncarnation(entry.target, entry.born_ms)
+    return not entry.is_draining and not is_leaving(
+        directory.departures, incarnation
+    )
+
+
 def _is_older(offered: TargetEntry, known: TargetEntry) -> bool:
     if offered.born_ms != known.born_ms:
         return offered.born_ms < known.born_ms
--- a/celeryturn/decisions/targets/replicas.py
+++ b/celeryturn/decisions/targets/replicas.py
@@ -28,6 +28,8 @@
 MIN_TYPICAL_SECONDS: Final = 0.0001
 GOLDEN_RATIO: Final = 0.618034
 MAX_COLD_SECONDS: Final = 86_400.0
+# A target that asks for a longer time is probed after this one.
+MAX_RETRY_AFTER_SECONDS: Final = 60.0
 
 ColdSeconds: TypeAlias = Annotated[
     float, msgspec.Meta(ge=0, le=MAX_COLD_SECONDS)
@@ -90,6 +92,8 @@
     :param load: Last reported load.
     :param load_reported_seconds: Time of the last load report.
     :param blocked_until_seconds: Time before which no request is sent.
+    :param retry_at_seconds: Time before which the target wants no requests
+        from this instance.
     :param connect_failure_count: Number of consecutive failures to connect.
     :param probe_at_seconds: Time from which the target may be probed after a
         request without a response.
@@ -109,6 +113,7 @@
         'observed_seconds',
         'pending',
         'probe_at_seconds',
+        'retry_at_seconds',
         'slowness',
         'unanswered_count',
     )
@@ -124,6 +129,7 @@
         self.load = Load(0, 0, entry.slot_count)
         self.load_reported_seconds = 0.0
         self.blocked_until_seconds = 0.0
+        self.retry_at_seconds = 0.0
         self.connect_failure_count = 0
         self.probe_at_seconds = 0.0
         self.unanswered_count = 0
@@ -236,6 +242,31 @@
     _record_outcome(replica, 1, now_seconds)
 
 
+def observe_retry_after(
+    replica: Replica, retry_after_seconds: float, now_seconds: float
+) -> None:
+    """Record that a target wants no requests from this instance for a time.
+
+    :param replica: Target that turned a request away.
+    :param retry_after_seconds: Length of that time, which is limited to
+        :data:`MAX_RETRY_AFTER_SECONDS`.
+    :param now_seconds: Time of the reply.
+    """
+    bounded_seconds = min(retry_after_seconds, MAX_RETRY_AFTER_SECONDS)
+    replica.retry_at_seconds = max(
+        replica.retry_at_seconds, now_seconds + bounded_seconds
+    )
+
+
+def available_at_seconds(replica: Replica) -> float:
+    """Return the time from which requests may be sent to a target.
+
+    :param replica: Target to assess.
+    :returns: The time; in the past if the target may be used.
+    """
+    return max(replica.blocked_until_seconds, replica.retry_at_seconds)
+
+
 def observe_load(replica: Replica, load: Load, now_seconds: float) -> None:
     """Record the load that a target reports.
 
@@ -355,7 +386,7 @@
     best_cost = math.inf
     jitter_fraction = random_fraction
     for replica in replicas:
-        if replica.blocked_until_seconds > now_seconds:
+        if available_at_seconds(replica) > now_seconds:
             continue
         jitter_fraction = math.modf(jitter_fraction + GOLDEN_RATIO)[0]
         cost = cost_seconds(replica, expected_latency, zone, now_seconds)
--- a/celeryturn/forwarding/app.py
+++ b/celeryturn/forwarding/app.py
@@ -6,7 +6,7 @@
 
 from celeryturn.decisions.fleet import membership
 from celeryturn.decisions.request.route_table import RouteTable
-from celeryturn.errors import CeleryturnError, Fault, Kind
+from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.events import (
     LEAVING,
     READY,
@@ -17,25 +17,16 @@
 from celeryturn.forwarding import shared_state
 from celeryturn.forwarding.answering import make_caller_server
 from celeryturn.forwarding.auxiliary_listeners import make_auxiliary_listeners
+from celeryturn.forwarding.listening import try_listen, try_listen_peers
 from celeryturn.forwarding.load_announcement import announce_busy
 from celeryturn.forwarding.metrics import ForwardingMetrics
-from celeryturn.forwarding.peer_lists import (
-    apply_peer_update,
-    collect_update,
-    lacks_routes_or_targets,
-    revision_to_request,
-)
+from celeryturn.forwarding.peer_access import connect_peers
+from celeryturn.forwarding.peer_lists import lacks_routes_or_targets
 from celeryturn.forwarding.settings import ForwardingSettings
-from celeryturn.forwarding.store_watch import (
-    note_revision,
-    run_housekeeping,
-    watch_store,
-)
-from celeryturn.http.server import HttpServer
-from celeryturn.instance import Instance, Routes
+from celeryturn.forwarding.store_watch import run_housekeeping, watch_store
+from celeryturn.instance import Instance
 from celeryturn.loops import Loop, start_loop
 from celeryturn.peers import network as peers
-from celeryturn.settings import Endpoint
 
 MILLISECONDS_PER_SECOND: Final = 1000
 POLL_INTERVAL_SECONDS: Final = 0.02
@@ -62,27 +53,11 @@
         instance = Instance(settings.instance, shared_state.now, incarnation)
         self.shared = shared_state.SharedState(settings, instance)
         self.network = peers.Network(instance)
+        connect_peers(self.shared, self.network)
         self.network.seeds = settings.seeds
-        instance.routes = Routes(
-            version=lambda: shared_state.table_version(self.shared),
-            body=lambda: self.shared.table_body,
-            offer=self._offer_table,
-            revision=lambda: self.shared.progress.revision,
-            note_revision=lambda revision: note_revision(self.shared, revision),
-            lacks_routes_or_targets=lambda: lacks_routes_or_targets(
-                self.shared
-            ),
-            revision_to_request=lambda revision: revision_to_request(
-                self.shared, revision
-            ),
-            collect_update=lambda since: collect_update(self.shared, since),
-            apply_peer_update=lambda update: apply_peer_update(
-                self.shared, update
-            ),
-        )
         self.collectors = ForwardingMetrics()
         self.caller_server = make_caller_server(self.shared, self.collectors)
-        self.shared.on_adopted.append(self._apply_limits)
+        self.shared.callbacks.adopted.append(self._apply_limits)
         self.drain_requested = asyncio.Event()
         self._auxiliary_servers = make_auxiliary_listeners(
             self.shared, self.collectors
@@ -98,12 +73,12 @@
         """
         settings = self.shared.settings
         faults = [
-            await _listen(self.caller_server, settings.instance.callers),
+            await try_listen(self.caller_server, settings.instance.callers),
             *[
-                await _listen(auxiliary.server, auxiliary.endpoint)
+                await try_listen(auxiliary.server, auxiliary.endpoint)
                 for auxiliary in self._auxiliary_servers
             ],
-            await self._listen_peers(),
+            await try_listen_peers(self.network),
         ]
         found_faults = tuple(fault for fault in faults if fault is not None)
         if found_faults:
@@ -197,9 +172,6 @@
         while self.shared.in_flight and shared_state.now() < until_seconds:
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
-    def _offer_table(self, body: bytes) -> None:
-        shared_state.adopt_table(self.shared, body, 'peer')
-
     def _apply_limits(self, table: RouteTable) -> None:
         limits = self.caller_server.limits
         limits.head_bytes = table.limits.head_bytes
@@ -212,13 +184,6 @@
         self._loops.append(task)
         return task
 
-    async def _listen_peers(self) -> Fault | None:
-        try:
-            await peers.listen(self.network)
-        except OSError as error:
-            return Fault('peers', f'must be a free port: {error}')
-        return None
-
     async def _become_ready(self) -> None:
         shared = self.shared
         while lacks_routes_or_targets(shared):
@@ -231,13 +196,5 @@
         )
 
 
-async def _listen(server: HttpServer, endpoint: Endpoint) -> Fault | None:
-    try:
-        await server.start(endpoint.address, endpoint.port)
-    except OSError as error:
-        return Fault(f'port {endpoint.port}', f'must be a free port: {error}')
-    return None
-
-
 async def _sleep_until(at_seconds: float) -> None:
     await asyncio.sleep(max(0.0, at_seconds - shared_state.now()))
--- a/celeryturn/forwarding/pools.py
+++ b/celeryturn/forwarding/pools.py
@@ -31,6 +31,10 @@
     """The request was not sent, since no connection could be opened."""
 
 
+class WithdrawnError(NotSentError):
+    """The request was not sent, since the target must get no further ones."""
+
+
 class Exchange:
     """Request to one target and its reply.
 
@@ -163,6 +167,19 @@
         _dispatch(pool)
 
 
+def reject_waiting(pool: Pool) -> None:
+    """End all exchanges that wait for a connection, as not sent.
+
+    :param pool: Connections to a target that must get no further requests.
+    """
+    waiting = [queued[-1] for queued in sorted(pool.waiting)]
+    pool.waiting.clear()
+    for exchange in waiting:
+        if not exchange.is_ended:
+            exchange.is_ended = True
+            exchange.on_end(exchange, WithdrawnError('target is not available'))
+
+
 def drop_idle(pool: Pool, before_seconds: float) -> None:
     """Close connections that have been idle since before a given time.
 
--- a/celeryturn/forwarding/runner.py
+++ b/celeryturn/forwarding/runner.py
@@ -12,15 +12,19 @@
 from celeryturn.decisions.request.route_table import Route
 from celeryturn.decisions.targets import directory, latency, replicas
 from celeryturn.forwarding import extra_load_access, shared_state
+from celeryturn.forwarding.leaving_targets import announce_leaving
 from celeryturn.forwarding.pools import (
     Exchange,
     NotSentError,
     Outcome,
+    WithdrawnError,
     cancel,
     drop_idle,
+    reject_waiting,
     submit,
 )
 from celeryturn.forwarding.shared_state import SharedState
+from celeryturn.forwarding.target_pools import get_pool
 from celeryturn.http.messages import HttpReply, HttpRequest
 from celeryturn.platform import wire
 from celeryturn.timer import Timer
@@ -191,7 +195,7 @@
         self.history[attempt.number] = AttemptRecord(attempt)
         attempt.replica.pending[id(exchange)] = shared_state.now()
         self.shared.fleet_share.busyness.sent_count += 1
-        submit(shared_state.get_pool(self.shared, attempt.replica), exchange)
+        submit(get_pool(self.shared, attempt.replica), exchange)
 
     def _cancel(self, attempt: legs.Attempt) -> None:
         exchange = self.exchanges.pop(attempt.number, None)
@@ -199,7 +203,7 @@
             return
         replica = attempt.replica
         replica.pending.pop(id(exchange), None)
-        pool = shared_state.get_pool(self.shared, replica)
+        pool = get_pool(self.shared, replica)
         cancel(pool, exchange)
         if not exchange.written_seconds:
             return
@@ -228,7 +232,8 @@
         record = self.history[attempt.number]
         record.ended_seconds = shared_state.now()
         record.outcome = reply.attempt_outcome.value
-        self._observe_reply(replica, exchange, reply)
+        if not isinstance(outcome, WithdrawnError):
+            self._observe_reply(replica, exchange, reply)
         view = self._view()
         self._apply(sharded.on_reply(self.state, attempt.number, reply, view))
 
@@ -240,9 +245,8 @@
         if isinstance(outcome, Exception):
             return TargetReply(AttemptOutcome.LOST)
         reply = wire.read_reply(outcome)
-        if reply.load is None:
+        for text in wire.ignored_reply_texts(outcome):
             target = attempt.replica.entry.target
-            text = wire.ignored_load_text(outcome)
             shared_state.log_ignored_header(self.shared, target, text)
         if len(self.context.plan.services) == 1:
             self.replies[reply.signature] = outcome
@@ -252,6 +256,7 @@
         self, replica: replicas.Replica, exchange: Exchange, reply: TargetReply
     ) -> None:
         now_seconds = shared_state.now()
+        self._observe_refusal(replica, reply, now_seconds)
         if reply.load is not None:
             replicas.observe_load(replica, reply.load, now_seconds)
         if reply.attempt_outcome in _RESPONSE_OUTCOMES:
@@ -269,6 +274,21 @@
         else:
             replicas.observe_failure(replica, now_seconds)
 
+    def _observe_refusal(
+        self, replica: replicas.Replica, reply: TargetReply, now_seconds: float
+    ) -> None:
+        # The reply of another target at the address says nothing about this
+        # one.
+        if reply.attempt_outcome is AttemptOutcome.WRONG_TARGET:
+            return
+        if reply.is_leaving:
+            announce_leaving(self.shared, replica)
+        if reply.retry_after_seconds:
+            replicas.observe_retry_after(
+                replica, reply.retry_after_seconds, now_seconds
+            )
+            reject_waiting(get_pool(self.shared, replica))
+
     def _latency_window(self, now_seconds: float) -> latency.LatencyWindow:
         latencies = self.shared.latencies
         name = self.context.route.name
--- a/celeryturn/forwarding/shared_state.py
+++ b/celeryturn/forwarding/shared_state.py
@@ -5,16 +5,15 @@
 from typing import Final, Protocol, TypeAlias
 
 from celeryturn.clock import boottime_seconds
-from celeryturn.decisions.load.connection_shares import connection_share
-from celeryturn.decisions.load.fleet_share import FleetShare, get_sharing
+from celeryturn.decisions.load.fleet_share import FleetShare
 from celeryturn.decisions.load.line_budget import LineBudget, may_write
 from celeryturn.decisions.request.caller_timeouts import CallerTimeouts
 from celeryturn.decisions.request.route_table import RouteTable, is_newer
 from celeryturn.decisions.request.splitting import Splitter
+from celeryturn.decisions.targets.departures import TargetIncarnation
 from celeryturn.decisions.targets.directory import Directory
 from celeryturn.decisions.targets.entry_history import EntryHistory
 from celeryturn.decisions.targets.latency import LatencyWindow
-from celeryturn.decisions.targets.replicas import Replica
 from celeryturn.errors import CeleryturnError
 from celeryturn.events import (
     HEADER_IGNORED,
@@ -22,13 +21,14 @@
     TABLE_ADOPTED,
     log,
 )
-from celeryturn.forwarding.pools import Pool, close_pool, drop_idle
+from celeryturn.forwarding.pools import Pool
 from celeryturn.forwarding.settings import ForwardingSettings
 from celeryturn.instance import Instance
 from celeryturn.platform.documents import decode_table
 
 MAX_LOGGED_CHARACTERS: Final = 40
 OnAdopted: TypeAlias = Callable[[RouteTable], None]
+OnTargetLeaving: TypeAlias = Callable[[TargetIncarnation], None]
 
 
 class StoreProgress:
@@ -98,6 +98,21 @@
         self.ignored_header_count = 0
 
 
+class Callbacks:
+    """Callbacks that parts of an instance register.
+
+    :param adopted: Receive every table that is adopted.
+    :param target_leaving: Receive every target whose reply announces its
+        departure.
+    """
+
+    __slots__ = ('adopted', 'target_leaving')
+
+    def __init__(self) -> None:
+        self.adopted: list[OnAdopted] = []
+        self.target_leaving: list[OnTargetLeaving] = []
+
+
 class SharedState:
     """State that the parts of a forwarding instance share.
 
@@ -111,7 +126,7 @@
     :param latencies: Observed latencies of targets by route.
     :param splitter: State of the routes that are split over services.
     :param caller_timeouts: Timeouts that callers report, by route.
-    :param on_adopted: Callbacks that receive every table that is adopted.
+    :param callbacks: Callbacks on adopted tables and on leaving targets.
     :param in_flight: Requests that are being forwarded.
     :param is_refusing: Whether new requests are refused without being run.
     :param progress: Progress of reading the store.
@@ -131,7 +146,7 @@
         self.latencies: dict[str, LatencyWindow] = {}
         self.splitter = Splitter()
         self.caller_timeouts: dict[str, CallerTimeouts] = {}
-        self.on_adopted: list[OnAdopted] = []
+        self.callbacks = Callbacks()
         self.in_flight: set[Stoppable] = set()
         self.is_refusing = False
         self.progress = StoreProgress(now())
@@ -159,7 +174,7 @@
     shared.table_body = body
     log(TABLE_ADOPTED, version=table.version, source=source)
     _drop_removed_routes(shared, table)
-    for callback in shared.on_adopted:
+    for callback in shared.callbacks.adopted:
         callback(table)
     return True
 
@@ -188,46 +203,6 @@
     return shared.table.version if shared.table else 0
 
 
-def get_pool(shared: SharedState, replica: Replica) -> Pool:
-    """Return the connection pool of a target.
-
-    The pool is replaced if the address of the target has changed.
-
-    :param shared: Shared state of the instance.
-    :param replica: The target.
-    :returns: The pool, with this instance's current share of the target's
-        connections.
-    """
-    entry = replica.entry
-    pool = shared.pools.get(entry.target)
-    endpoint = (entry.address, entry.port)
-    if pool is None or (pool.address, pool.port) != endpoint:
-        if pool is not None:
-            close_pool(pool)
-        pool = Pool(entry.address, entry.port, 0)
-        shared.pools[entry.target] = pool
-    pool.connection_share = _compute_share(shared, replica)
-    return pool
-
-
-def prune_pools(shared: SharedState, before_seconds: float) -> None:
-    """Close idle connections and the pools of removed targets.
-
-    After a machine has lost power, a target keeps counting the connections of
-    that machine until it detects the loss.  The fewer idle connections an
-    instance keeps, the more new ones the target accepts after such a loss.
-
-    :param shared: Shared state of the instance.
-    :param before_seconds: Idle connections that were last used before this
-        time are closed.
-    """
-    for target, pool in tuple(shared.pools.items()):
-        if target in shared.directory.services:
-            drop_idle(pool, before_seconds)
-        else:
-            close_pool(shared.pools.pop(target))
-
-
 def log_ignored_header(
     shared: SharedState, sender: str, text: str | None
 ) -> None:
@@ -252,17 +227,3 @@
     :returns: Seconds since an arbitrary point.
     """
     return boottime_seconds()
-
-
-def _compute_share(shared: SharedState, replica: Replica) -> int:
-    table = shared.table
-    service = replica.entry.service
-    limit = table.connection_limits.get(service, 0) if table else 0
-    return connection_share(
-        limit,
-        replica.entry.zone,
-        shared.instance.settings.availability_zone,
-        get_sharing(
-            shared.fleet_share, shared.instance.membership, now()
-        ).zones,
-    )
--- a/celeryturn/forwarding/store_watch.py
+++ b/celeryturn/forwarding/store_watch.py
@@ -17,6 +17,7 @@
 from celeryturn.forwarding import shared_state
 from celeryturn.forwarding.request_log import log_dropped_lines
 from celeryturn.forwarding.shared_state import SharedState, StoreProgress
+from celeryturn.forwarding.target_pools import prune_pools
 from celeryturn.platform.documents import (
     TABLE_KEY,
     TARGETS_PREFIX,
@@ -119,7 +120,7 @@
         await asyncio.sleep(HOUSEKEEPING_INTERVAL_SECONDS)
         now_seconds = shared_state.now()
         directory.drop_expired(shared.directory, now_seconds)
-        shared_state.prune_pools(shared, now_seconds - MAX_IDLE_SECONDS)
+        prune_pools(shared, now_seconds - MAX_IDLE_SECONDS)
         log_dropped_lines(shared)
 
 
--- a/celeryturn/instance.py
+++ b/celeryturn/instance.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
 from celeryturn.decisions.bookings.booking_table import BookingTable
@@ -13,6 +13,7 @@
 )
 from celeryturn.decisions.configuration.freshness import Freshness
 from celeryturn.decisions.fleet import membership
+from celeryturn.decisions.targets.departures import TargetIncarnation
 from celeryturn.decisions.targets.entry_history import EntryUpdate
 from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.events import ADOPTED, MEMBER_CHANGED, NOT_ADOPTED, log
@@ -39,6 +40,9 @@
     :param collect_update: Returns the changes to the list of targets since a
         revision.
     :param apply_peer_update: Merges the list of targets of a peer.
+    :param leaving_targets: Returns the targets that announced their departure.
+    :param mark_leaving: Records such targets and returns those that were not
+        known to be leaving.
     """
 
     version: Callable[[], int]
@@ -50,6 +54,10 @@
     revision_to_request: Callable[[int], int | None]
     collect_update: Callable[[int], EntryUpdate | None]
     apply_peer_update: Callable[[EntryUpdate], None]
+    leaving_targets: Callable[[], tuple[TargetIncarnation, ...]]
+    mark_leaving: Callable[
+        [Iterable[TargetIncarnation]], list[TargetIncarnation]
+    ]
 
 
 def _ignore(_received: object) -> None:
@@ -70,6 +78,8 @@
     revision_to_request=_return_none,
     collect_update=_return_none,
     apply_peer_update=_ignore,
+    leaving_targets=tuple,
+    mark_leaving=list,
 )
 
 
--- a/celeryturn/peers/messages.py
+++ b/celeryturn/peers/messages.py
@@ -7,6 +7,7 @@
 import cbor2
 
 from celeryturn.decisions.fleet.membership import Member
+from celeryturn.decisions.targets.departures import TargetIncarnation
 from celeryturn.decisions.targets.entry_history import EntryUpdate
 from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.schema import decode, encode
@@ -139,6 +140,15 @@
     listed: EntryUpdate
 
 
+class LeavingTargets(NamedTuple):
+    """Targets that announced their departure: all on a new link, then changes.
+
+    :param targets: The incarnations that are leaving.
+    """
+
+    targets: tuple[TargetIncarnation, ...]
+
+
 Message: TypeAlias = (
     Hello
     | Ping
@@ -151,6 +161,7 @@
     | Table
     | TargetListRequest
     | TargetList
+    | LeavingTargets
 )
 
 _TYPES_BY_NAME: Final[Mapping[str, type[Message]]] = MappingProxyType(
@@ -166,6 +177,7 @@
         'table': Table,
         'want_listed': TargetListRequest,
         'target_list': TargetList,
+        'leaving_targets': LeavingTargets,
     }
 )
 _NAMES_BY_TYPE: Final[Mapping[type[Message], str]] = MappingProxyType(
--- a/celeryturn/peers/network.py
+++ b/celeryturn/peers/network.py
@@ -312,6 +312,9 @@
     known = tuple(instance.membership.members.values())
     enqueue(link, messages.Members(known))
     enqueue(link, messages.Versions(current_versions(instance)))
+    leaving = instance.routes.leaving_targets()
+    if leaving:
+        enqueue(link, messages.LeavingTargets(leaving))
     try:
         await _read(network, link)
     except CeleryturnError as error:
@@ -346,6 +349,9 @@
     if isinstance(message, messages.Members):
         _merge_members(network, link, message.members)
         return
+    if isinstance(message, messages.LeavingTargets):
+        _merge_leaving_targets(network, link, message)
+        return
     for reply in handle_message(instance, message):
         enqueue(link, reply)
 
@@ -368,6 +374,14 @@
     broadcast_members(network, changed, link)
 
 
+def _merge_leaving_targets(
+    network: Network, link: PeerLink, message: messages.LeavingTargets
+) -> None:
+    marked = network.instance.routes.mark_leaving(message.targets)
+    if marked:
+        broadcast(network, messages.LeavingTargets(tuple(marked)), link)
+
+
 def _broadcast_adopted(network: Network, published: PublishedDocument) -> None:
     document = published.document
     broadcast(network, messages.Versions({document.service: document.version}))
--- a/celeryturn/platform/wire.py
+++ b/celeryturn/platform/wire.py
@@ -27,6 +27,7 @@
 MILLISECONDS_PER_SECOND: Final = 1000
 MAX_REMAINING_MS: Final = 86_400_000.0
 MAX_LOAD_FIGURE: Final = 1_000_000
+MAX_RETRY_AFTER_SECONDS: Final = 1e12
 
 ATTEMPT_ID_HEADER: Final = 'x-attempt-id'
 # Remaining time in milliseconds, not a point in time.
@@ -34,6 +35,9 @@
 SIGNATURE_HEADER: Final = 'x-response-stamp'
 TARGET_HEADER: Final = 'x-target-instance'
 LOAD_HEADER: Final = 'x-server-load'
+# Announces the departure of the target, whatever the reply is about.
+LEAVING_HEADER: Final = 'server-leaving'
+RETRY_AFTER_HEADER: Final = 'retry-after'
 # Its presence means that the target did not run the request; its value has no
 # meaning.
 NOT_RUN_HEADER: Final = 'x-not-executed'
@@ -56,9 +60,11 @@
 _OVERWRITTEN_HEADERS: Final = frozenset((DEADLINE_HEADER, TARGET_HEADER))
 _LOAD_FIGURE_COUNTS: Final = frozenset((3, 4))
 _RECORD: Final = struct.Struct(f'{RECORD_BYTES}s')
-_INTERNAL_HEADERS: Final = frozenset((LOAD_HEADER,))
+_INTERNAL_HEADERS: Final = frozenset((LOAD_HEADER, LEAVING_HEADER))
 _WRONG_TARGET_STATUS: Final = 421
 _OK_STATUS: Final = 200
+_UNAVAILABLE_STATUS: Final = 503
+_LEAVING_TEXT: Final = '1'
 _STATUS_CLASS_SIZE: Final = 100
 _SUCCESS_STATUS_CLASS: Final = 2
 
@@ -150,7 +156,7 @@
     """Decode a complete reply of a target.
 
     :param reply: The reply.
-    :returns: The verdict, signature, body and load of the reply.
+    :returns: What decisions use of the reply.
     """
     signature = header(reply.headers, SIGNATURE_HEADER) or ''
     return TargetReply(
@@ -158,16 +164,24 @@
         signature=signature,
         body=reply.body,
         load=_parse_load(header(reply.headers, LOAD_HEADER)),
+        is_leaving=header(reply.headers, LEAVING_HEADER) == _LEAVING_TEXT,
+        retry_after_seconds=_parse_retry_after(reply) or 0.0,
     )
 
 
-def ignored_load_text(reply: HttpReply) -> str | None:
-    """Return the text of a load report that cannot be read.
+def ignored_reply_texts(reply: HttpReply) -> list[str]:
+    """List the headers of a reply that hold no valid number.
 
-    :param reply: A reply that was decoded without a load.
-    :returns: The text of the header, or ``None`` if there is no header.
+    :param reply: A reply of a target.
+    :returns: The texts of the headers that were ignored.
     """
-    return header(reply.headers, LOAD_HEADER)
+    ignored = []
+    load_text = header(reply.headers, LOAD_HEADER)
+    if load_text is not None and _parse_load(load_text) is None:
+        ignored.append(load_text)
+    if _is_pause_request(reply) and _parse_retry_after(reply) is None:
+        ignored.append(header(reply.headers, RETRY_AFTER_HEADER) or '')
+    return ignored
 
 
 def caller_reply(reply: HttpReply) -> HttpReply:
@@ -279,6 +293,21 @@
     return AttemptOutcome.FAILED
 
 
+def _is_pause_request(reply: HttpReply) -> bool:
+    is_unavailable = reply.status == _UNAVAILABLE_STATUS
+    return (
+        is_unavailable and header(reply.headers, RETRY_AFTER_HEADER) is not None
+    )
+
+
+def _parse_retry_after(reply: HttpReply) -> float | None:
+    # The platform's targets state seconds, never a date.
+    if not _is_pause_request(reply):
+        return None
+    text = header(reply.headers, RETRY_AFTER_HEADER) or ''
+    return read_decimal(text, MAX_RETRY_AFTER_SECONDS)
+
+
 def _parse_load(text: str | None) -> Load | None:
     if text is None:
         return None
--- a/standins/shard_target.py
+++ b/standins/shard_target.py
@@ -60,6 +60,9 @@
     :param fault: Fault that it injects at present.
     :param delay_seconds: Processing time of a request.
     :param server_load: Value of the load header of its replies.
+    :param is_leaving: Whether its replies say that it is leaving.
+    :param retry_after: Value of the retry header of requests that it sheds;
+        empty for no header.
     :param executed_attempt_ids: Identifiers of the attempts that it ran, in
         order.
     :param received_headers: Headers of the requests that it received, in
@@ -74,6 +77,8 @@
         self.fault = Fault.NONE
         self.delay_seconds = 0.0
         self.server_load = '0,0,4'
+        self.is_leaving = False
+        self.retry_after = ''
         self.executed_attempt_ids: list[str] = []
         self.received_headers: list[Headers] = []
         self.disconnect_count = 0
@@ -166,9 +171,7 @@
             await self._reply(headers, MISDIRECTED, b'')
             return
         if target.fault is Fault.SHED:
-            await self._reply(
-                headers, UNAVAILABLE, b'', ('x-not-executed', '1')
-            )
+            await self._shed(headers)
             return
         target.executed_attempt_ids.append(
             header(headers, 'x-attempt-id') or ''
@@ -176,6 +179,12 @@
         await self._simulate_work()
         await self._reply_after_run(headers)
 
+    async def _shed(self, headers: Headers) -> None:
+        shed_headers = [('x-not-executed', '1')]
+        if self._target.retry_after:
+            shed_headers.append(('retry-after', self._target.retry_after))
+        await self._reply(headers, UNAVAILABLE, b'', *shed_headers)
+
     async def _simulate_work(self) -> None:
         target = self._target
         if target.fault is Fault.SILENT:
@@ -255,6 +264,7 @@
             ('content-length', str(len(body))),
             ('x-attempt-id', header(headers, 'x-attempt-id') or ''),
             ('x-server-load', self._target.server_load),
+            *self._leaving_headers(),
             *extra_headers,
         )
         protocol = self._protocol
@@ -267,6 +277,9 @@
         parts.append(protocol.send(h11.EndOfMessage()))
         return b''.join(part for part in parts if part)
 
+    def _leaving_headers(self) -> Headers:
+        return (('server-leaving', '1'),) if self._target.is_leaving else ()
+
     def _stamp(self, headers: Headers) -> tuple[str, str]:
         stamped_text = (
             f'{self._target.identifier} {header(headers, "x-attempt-id")}'
--- a/tests/decisions/targets/replicas.feature
+++ b/tests/decisions/targets/replicas.feature
@@ -83,3 +83,21 @@
     Then of 41 connections of a near target, 2 near and 7 far instances get 10 and 1 each
     And of 41 connections of a near target, 0 near and 7 far instances get 0 and 4 each
     And all shares together stay below the limit
+
+  Scenario: A target that asked for a time without requests gets none meanwhile
+    Given targets in zones "a:near"
+    When "a" wants no requests for 5 s
+    Then no target is chosen for 4.9 s
+    And "a" is chosen after 5.1 s
+
+  Scenario: A failure to connect does not shorten the time that a target asked for
+    Given targets in zones "a:near"
+    When "a" wants no requests for 5 s
+    And no connection to "a" can be opened
+    Then no target is chosen for 4.9 s
+
+  Scenario: A target that asks for an absurd time is probed after a minute
+    Given targets in zones "a:near"
+    When "a" wants no requests for 1e11 s
+    Then no target is chosen for 59.9 s
+    And "a" is chosen after 60.1 s
--- a/tests/steps/numbers.py
+++ b/tests/steps/numbers.py
@@ -60,8 +60,8 @@
         else tuple(int(figure) for figure in load.split())
     )
     assert figures == expected, figures
-    is_ignored = wire.ignored_load_text(reply) is not None
-    assert is_ignored, 'a header that is there is reported'
+    is_ignored = bool(wire.ignored_reply_texts(reply))
+    assert is_ignored == (load == NOTHING), 'only what is ignored is reported'
 
 
 @then('the address "{text}" is read as {address}')
--- a/tests/steps/replicas.py
+++ b/tests/steps/replicas.py
@@ -181,3 +181,35 @@
     return replicas.is_stalled(
         context.known[name], EXPECTED_LATENCY, context.now_seconds
     )
+
+
+@when('"{name}" wants no requests for {seconds:g} s')
+def ask_for_pause(context: Context, name: str, seconds: float) -> None:
+    """Record that a target turned a request away for a time."""
+    replicas.observe_retry_after(
+        context.known[name], seconds, context.now_seconds
+    )
+
+
+@then('no target is chosen for {seconds:g} s')
+def expect_no_choice(context: Context, seconds: float) -> None:
+    """Check that there is no candidate until then."""
+    assert _choose_after(context, seconds) is None
+
+
+@then('"{name}" is chosen after {seconds:g} s')
+def expect_choice_after(context: Context, name: str, seconds: float) -> None:
+    """Check the candidate after a time."""
+    chosen = _choose_after(context, seconds)
+    assert chosen is not None
+    assert chosen.entry.target == name
+
+
+def _choose_after(context: Context, seconds: float) -> replicas.Replica | None:
+    return replicas.choose_replica(
+        context.known.values(),
+        EXPECTED_LATENCY,
+        'near',
+        context.now_seconds + seconds,
+        0.5,
+    )
--- a/tests/support/routed.py
+++ b/tests/support/routed.py
@@ -34,6 +34,7 @@
     :param targets: Targets by identifier.
     :param applications: Instances in the order of their start.
     :param config: Configuration that was last published.
+    :param max_connections: Connections that each target accepts, as published.
     """
 
     def __init__(self) -> None:
@@ -41,6 +42,7 @@
         self.targets: dict[str, ShardTarget] = {}
         self.applications: list[ForwardingApplication] = []
         self.config: dict[str, Any] = {}
+        self.max_connections = 41
         self._run_tasks: list[asyncio.Task[None]] = []
         self._connections: list[Connection] = []
         self._sequence_numbers = itertools.count(1)
@@ -81,7 +83,11 @@
             if name
         }
         services = [
-            {'Name': name, 'MaxConns': 41, 'HealthPath': '/health'}
+            {
+                'Name': name,
+                'MaxConns': self.max_connections,
+                'HealthPath': '/health',
+            }
             for name in sorted(names)
         ]
         self.config = {
