--- a/celeryturn/app.py
+++ b/celeryturn/app.py
@@ -20,7 +20,7 @@
 from celeryturn.http.server import HttpServer
 from celeryturn.instance import Instance, current_versions
 from celeryturn.loops import start_loop
-from celeryturn.peers import network as peers
+from celeryturn.peers import dialling, network
 from celeryturn.settings import Settings
 from celeryturn.targets.health_checks import poll_leaving_targets
 from celeryturn.targets.links import Links, close_links, prune_links
@@ -50,7 +50,7 @@
             settings.callers.address,
         )
         self.instance.on_adopted.append(self._prune_links)
-        self.network = peers.Network(self.instance)
+        self.network = network.Network(self.instance)
         entry = HandlerContext(self.instance, self.links, self.drain)
         self.server = HttpServer(
             lambda request: answer_request(entry, request),
@@ -80,7 +80,7 @@
         loops = (
             lambda: watcher.watch_instance_list(self.instance),
             lambda: watcher.watch_configuration(self.instance),
-            lambda: peers.gossip(self.network),
+            lambda: dialling.gossip(self.network),
             lambda: poll_leaving_targets(self.instance),
             self._become_ready,
         )
@@ -104,8 +104,8 @@
         self.server.is_closing = True
         log(LEAVING, instance=instance.settings.instance)
         own = membership.leave(instance.membership, instance.clock())
-        peers.broadcast_members(self.network, [own])
-        await peers.flush(self.network, FLUSH_SECONDS)
+        network.broadcast_members(self.network, [own])
+        await network.flush(self.network, FLUSH_SECONDS)
         await asyncio.sleep(timing.advice_keep_seconds)
         await self.server.stop(timing.shutdown_grace_seconds)
         if instance.background_tasks:
@@ -119,7 +119,7 @@
         for task in self._loops:
             task.cancel()
         await asyncio.gather(*self._loops, return_exceptions=True)
-        await peers.close_network(self.network)
+        await dialling.close_network(self.network)
         await self.server.stop(0)
         await close_links(self.links)
         log(STOPPED, instance=self.instance.settings.instance)
@@ -138,7 +138,7 @@
 
     async def _listen_peers(self) -> Fault | None:
         try:
-            await peers.listen(self.network)
+            await dialling.listen(self.network)
         except OSError as error:
             return Fault('peers.port', f'must be a free port: {error}')
         return None
@@ -151,7 +151,7 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_seconds):
                 await self.network.first_contact.wait()
-        while not instance.services or peers.outdated_services(self.network):
+        while not instance.services or dialling.outdated_services(self.network):
             await asyncio.sleep(READY_CHECK_SECONDS)
         instance.is_ready = True
         log(
--- a/celeryturn/decisions/fleet/membership.py
+++ b/celeryturn/decisions/fleet/membership.py
@@ -11,8 +11,7 @@
 from types import MappingProxyType
 from typing import Final, NamedTuple
 
-import xxhash
-
+from celeryturn.decisions.fleet.ring import ring_position
 from celeryturn.units import Count, Port
 
 SUSPECT_AFTER_SECONDS: Final = 3.0
@@ -245,23 +244,38 @@
 def neighbours_of(membership: Membership, count: int) -> list[str]:
     """Choose the instances to watch.
 
-    They are the next instances on a hash ring of instance names.
+    They are the next instances on a ring, where those of an availability zone
+    are next to each other.
 
     :param membership: The membership table.
     :param count: Maximum number of instances to choose.
     :returns: Names of instances in ring order, the closest first.
     """
-    own_position = _ring_position(membership.own.instance)
+    nearest = next_on_ring(membership, membership.own, count)
+    return [member.instance for member in nearest]
+
+
+def next_on_ring(
+    membership: Membership, origin: Member, count: int
+) -> list[Member]:
+    """List the instances that follow another one on the ring.
+
+    :param membership: The membership table.
+    :param origin: The entry of the other instance, which may be unknown.
+    :param count: Maximum number of instances to list.
+    :returns: Entries that are not gone in ring order, without the origin.
+    """
+    origin_position = _position(origin)
     others = [
-        member.instance
+        member
         for member in membership.members.values()
         if member.status is not Status.GONE
-        and member.instance != membership.own.instance
+        and member.instance != origin.instance
     ]
     others.sort(
-        key=lambda name: (
-            _ring_position(name) <= own_position,
-            _ring_position(name),
+        key=lambda member: (
+            _position(member) <= origin_position,
+            _position(member),
         )
     )
     return others[:count]
@@ -400,5 +414,5 @@
         membership.peak_seconds = now_seconds
 
 
-def _ring_position(name: str) -> int:
-    return xxhash.xxh3_64_intdigest(name.encode())
+def _position(member: Member) -> tuple[str, int]:
+    return ring_position(member.availability_zone, member.instance)
--- /dev/null
+++ b/celeryturn/decisions/fleet/ring.py
@@ -0,0 +1,26 @@
+"""Order of the instances on the ring on which neighbours watch each other.
+
+Instances of an availability zone are next to each other, so that most links
+stay within a zone.
+"""
+
+import xxhash
+
+
+def ring_position(zone: str, name: str) -> tuple[str, int]:
+    """Return the position of an instance on the ring.
+
+    :param zone: Availability zone of the instance.
+    :param name: Name of the instance.
+    :returns: A key to sort by.
+    """
+    return zone, name_hash(name)
+
+
+def name_hash(name: str) -> int:
+    """Hash the name of an instance.
+
+    :param name: The name.
+    :returns: A number that is the same on all instances.
+    """
+    return xxhash.xxh3_64_intdigest(name.encode())
--- a/celeryturn/decisions/targets/departures.py
+++ b/celeryturn/decisions/targets/departures.py
@@ -1,4 +1,4 @@
-"""Targets that have announced their departure."""
+"""Targets that have announced their departure or are no longer listed."""
 
 from collections.abc import Iterable, Iterator
 from typing import Final, NamedTuple
@@ -6,6 +6,7 @@
 from celeryturn.units import Integer
 
 MAX_LEAVING: Final = 4096
+MAX_REMOVED: Final = 4096
 
 
 class TargetIncarnation(NamedTuple):
@@ -19,17 +20,31 @@
     born_ms: Integer
 
 
+class EntryVersion(NamedTuple):
+    """Version of an entry; later ones compare as greater.
+
+    :param born_ms: Unix time of the start of the target.
+    :param sequence: Number that increases with each entry of an incarnation.
+    """
+
+    born_ms: Integer
+    sequence: Integer
+
+
 class Departures:
-    """Targets that have announced their departure.
+    """Targets that are leaving, or whose entries were removed.
 
     :param born_ms: Unix time of the start of the incarnation that is leaving,
         by target, the oldest announcement first.
+    :param removed: Last version of each entry that was removed, by target, the
+        oldest removal first.
     """
 
-    __slots__ = ('born_ms',)
+    __slots__ = ('born_ms', 'removed')
 
     def __init__(self) -> None:
         self.born_ms: dict[str, int] = {}
+        self.removed: dict[str, EntryVersion] = {}
 
 
 def record_leaving(
@@ -62,6 +77,37 @@
     return departures.born_ms.get(incarnation.target) == incarnation.born_ms
 
 
+def record_removed(
+    departures: Departures, target: str, version: EntryVersion
+) -> None:
+    """Record that the entry of a target was removed.
+
+    At most :data:`MAX_REMOVED` targets are kept; the oldest is dropped.
+
+    :param departures: Known departures.
+    :param target: Identifier of the target.
+    :param version: Last version of its entry.
+    """
+    departures.removed.pop(target, None)
+    departures.removed[target] = version
+    if len(departures.removed) > MAX_REMOVED:
+        departures.removed.pop(next(iter(departures.removed)))
+
+
+def was_removed(
+    departures: Departures, target: str, version: EntryVersion
+) -> bool:
+    """Return whether an entry had been removed before.
+
+    :param departures: Known departures.
+    :param target: Identifier of the target.
+    :param version: Version of its entry.
+    :returns: Whether this version, or a later one, was removed.
+    """
+    removed = departures.removed.get(target)
+    return removed is not None and version <= removed
+
+
 def list_leaving(
     departures: Departures, listed: Iterable[str]
 ) -> Iterator[TargetIncarnation]:
--- a/celeryturn/decisions/targets/directory.py
+++ b/celeryturn/decisions/targets/directory.py
@@ -5,8 +5,11 @@
 
 from celeryturn.decisions.targets.departures import (
     Departures,
+    EntryVersion,
     TargetIncarnation,
     is_leaving,
+    record_removed,
+    was_removed,
 )
 from celeryturn.decisions.targets.replicas import Replica, TargetEntry
 
@@ -115,7 +118,7 @@
                 target, now_seconds + grace_seconds
             )
         else:
-            drop(directory, target)
+            _drop_removed(directory, target)
 
 
 def apply_list(
@@ -135,6 +138,30 @@
     apply_missing(directory, missing, now_seconds)
 
 
+def apply_restored_list(
+    directory: Directory,
+    entries: Mapping[str, TargetEntry],
+    now_seconds: float,
+) -> None:
+    """Apply a complete list of a store that was restored from a copy.
+
+    The copy may contain entries that were removed since; they are not used
+    until they are written again.  It may lack entries that were written since;
+    their targets are kept for a grace period.
+
+    :param directory: Known targets.
+    :param entries: All entries by target identifier.
+    :param now_seconds: Time at which the list was read.
+    """
+    record_store_recovery(directory, now_seconds)
+    usable = {
+        target: entry
+        for target, entry in entries.items()
+        if not was_removed(directory.departures, target, _version(entry))
+    }
+    apply_list(directory, usable, now_seconds)
+
+
 def record_store_recovery(directory: Directory, now_seconds: float) -> None:
     """Record that the store responds again after an outage.
 
@@ -157,7 +184,7 @@
         if at_seconds <= now_seconds
     ]
     for target in expired:
-        drop(directory, target)
+        _drop_removed(directory, target)
     return expired
 
 
@@ -221,6 +248,18 @@
     return known is not None and known.entry.is_draining
 
 
+def _drop_removed(directory: Directory, target: str) -> None:
+    replica = find_replica(directory, target)
+    if replica is not None:
+        version = _version(replica.entry)
+        record_removed(directory.departures, target, version)
+    drop(directory, target)
+
+
+def _version(entry: TargetEntry) -> EntryVersion:
+    return EntryVersion(entry.born_ms, entry.sequence)
+
+
 def _is_serving(directory: Directory, entry: TargetEntry) -> bool:
     incarnation = TargetIncarnation(entry.target, entry.born_ms)
     return not entry.is_draining and not is_leaving(
@@ -229,9 +268,7 @@
 
 
 def _is_older(offered: TargetEntry, known: TargetEntry) -> bool:
-    if offered.born_ms != known.born_ms:
-        return offered.born_ms < known.born_ms
-    return offered.sequence < known.sequence
+    return _version(offered) < _version(known)
 
 
 def _is_same(known: TargetEntry, offered: TargetEntry) -> bool:
--- a/celeryturn/events.py
+++ b/celeryturn/events.py
@@ -67,6 +67,11 @@
     'targets_from_peer',
     'A peer supplied targets while the store did not.',
 )
+STORE_RESTORED: Final = Event(
+    210,
+    'store_restored',
+    'The store was restored from a copy, and all of it was read again.',
+)
 MEMBER_CHANGED: Final = Event(
     300, 'member_changed', 'The known state of an instance changed.'
 )
@@ -121,6 +126,7 @@
     TABLE_ADOPTED,
     ENTRY_UNUSABLE,
     TARGETS_FROM_PEER,
+    STORE_RESTORED,
     MEMBER_CHANGED,
     PEER_REFUSED,
     REFUSED,
--- a/celeryturn/forwarding/app.py
+++ b/celeryturn/forwarding/app.py
@@ -9,7 +9,6 @@
 from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.events import (
     LEAVING,
-    READY,
     STARTED,
     STOPPED,
     log,
@@ -17,16 +16,15 @@
 from celeryturn.forwarding import shared_state
 from celeryturn.forwarding.answering import make_caller_server
 from celeryturn.forwarding.auxiliary_listeners import make_auxiliary_listeners
+from celeryturn.forwarding.background import make_loops
 from celeryturn.forwarding.listening import try_listen, try_listen_peers
-from celeryturn.forwarding.load_announcement import announce_busy
 from celeryturn.forwarding.metrics import ForwardingMetrics
 from celeryturn.forwarding.peer_access import connect_peers
-from celeryturn.forwarding.peer_lists import lacks_routes_or_targets
 from celeryturn.forwarding.settings import ForwardingSettings
-from celeryturn.forwarding.store_watch import run_housekeeping, watch_store
+from celeryturn.forwarding.store_watch import watch_store
 from celeryturn.instance import Instance
 from celeryturn.loops import Loop, start_loop
-from celeryturn.peers import network as peers
+from celeryturn.peers import dialling, network
 
 MILLISECONDS_PER_SECOND: Final = 1000
 POLL_INTERVAL_SECONDS: Final = 0.02
@@ -52,7 +50,7 @@
         incarnation = int(time.time() * MILLISECONDS_PER_SECOND)
         instance = Instance(settings.instance, shared_state.now, incarnation)
         self.shared = shared_state.SharedState(settings, instance)
-        self.network = peers.Network(instance)
+        self.network = network.Network(instance)
         connect_peers(self.shared, self.network)
         self.network.seeds = settings.seeds
         self.collectors = ForwardingMetrics()
@@ -90,10 +88,8 @@
             )
         log(STARTED, instance=settings.instance.instance)
         self._watch_task = self._start_loop(lambda: watch_store(self.shared))
-        self._start_loop(lambda: run_housekeeping(self.shared))
-        self._start_loop(lambda: peers.gossip(self.network))
-        self._start_loop(self._become_ready)
-        self._start_loop(lambda: announce_busy(self.shared, self.network))
+        for loop in make_loops(self.shared, self.network):
+            self._start_loop(loop)
 
     def apply_settings(self, settings: ForwardingSettings) -> None:
         """Apply changed settings, except for names and ports.
@@ -141,8 +137,8 @@
         self.caller_server.is_closing = True
         log(LEAVING, instance=instance.settings.instance)
         own_member = membership.leave(instance.membership, instance.clock())
-        peers.broadcast_members(self.network, [own_member])
-        await peers.flush(self.network, FLUSH_TIMEOUT_SECONDS)
+        network.broadcast_members(self.network, [own_member])
+        await network.flush(self.network, FLUSH_TIMEOUT_SECONDS)
         grace_seconds = self.shared.settings.grace.shutdown_seconds
         await _sleep_until(started_seconds + REFUSE_SHARE * grace_seconds)
         self.shared.is_refusing = True
@@ -162,7 +158,7 @@
         for task in self._loops:
             task.cancel()
         await asyncio.gather(*self._loops, return_exceptions=True)
-        await peers.close_network(self.network)
+        await dialling.close_network(self.network)
         await self.caller_server.stop(FLUSH_TIMEOUT_SECONDS)
         for auxiliary in self._auxiliary_servers:
             await auxiliary.server.stop(0)
@@ -184,17 +180,6 @@
         self._loops.append(task)
         return task
 
-    async def _become_ready(self) -> None:
-        shared = self.shared
-        while lacks_routes_or_targets(shared):
-            await asyncio.sleep(POLL_INTERVAL_SECONDS)
-        shared.instance.is_ready = True
-        log(
-            READY,
-            instance=shared.settings.instance.instance,
-            version=shared_state.table_version(shared),
-        )
-
 
 async def _sleep_until(at_seconds: float) -> None:
     await asyncio.sleep(max(0.0, at_seconds - shared_state.now()))
--- /dev/null
+++ b/celeryturn/forwarding/background.py
@@ -0,0 +1,50 @@
+"""Background loops of an instance that forwards requests."""
+
+import asyncio
+from typing import Final
+
+from celeryturn.events import READY, log
+from celeryturn.forwarding import shared_state
+from celeryturn.forwarding.housekeeping import run_housekeeping
+from celeryturn.forwarding.load_announcement import announce_busy
+from celeryturn.forwarding.peer_lists import (
+    lacks_routes_or_targets,
+    may_lack_newer_routes,
+)
+from celeryturn.forwarding.shared_state import SharedState
+from celeryturn.loops import Loop
+from celeryturn.peers.dialling import gossip
+from celeryturn.peers.network import Network
+
+POLL_INTERVAL_SECONDS: Final = 0.02
+# A store that was restored from a copy may hold outdated routes.
+PEER_ROUTES_WAIT_SECONDS: Final = 0.3
+
+
+def make_loops(shared: SharedState, network: Network) -> tuple[Loop, ...]:
+    """Build the loops that run beside the one that follows the store.
+
+    :param shared: Shared state of the instance.
+    :param network: Links to peers.
+    :returns: The loops, each to be started once.
+    """
+    return (
+        lambda: run_housekeeping(shared),
+        lambda: gossip(network),
+        lambda: _become_ready(shared),
+        lambda: announce_busy(shared, network),
+    )
+
+
+async def _become_ready(shared: SharedState) -> None:
+    while lacks_routes_or_targets(shared):
+        await asyncio.sleep(POLL_INTERVAL_SECONDS)
+    until_seconds = shared_state.now() + PEER_ROUTES_WAIT_SECONDS
+    while may_lack_newer_routes(shared) and shared_state.now() < until_seconds:
+        await asyncio.sleep(POLL_INTERVAL_SECONDS)
+    shared.instance.is_ready = True
+    log(
+        READY,
+        instance=shared.settings.instance.instance,
+        version=shared_state.table_version(shared),
+    )
--- /dev/null
+++ b/celeryturn/forwarding/housekeeping.py
@@ -0,0 +1,28 @@
+"""Periodic clean-up of an instance that forwards requests."""
+
+import asyncio
+from typing import Final
+
+from celeryturn.decisions.targets import directory
+from celeryturn.forwarding import shared_state
+from celeryturn.forwarding.request_log import log_dropped_lines
+from celeryturn.forwarding.shared_state import SharedState
+from celeryturn.forwarding.target_pools import prune_pools
+
+HOUSEKEEPING_INTERVAL_SECONDS: Final = 0.25
+MAX_IDLE_SECONDS: Final = 8.0
+
+
+async def run_housekeeping(shared: SharedState) -> None:
+    """Drop expired targets and unused connections until cancelled.
+
+    The number of dropped log lines is logged at the same interval.
+
+    :param shared: Shared state of the instance.
+    """
+    while True:
+        await asyncio.sleep(HOUSEKEEPING_INTERVAL_SECONDS)
+        now_seconds = shared_state.now()
+        directory.drop_expired(shared.directory, now_seconds)
+        prune_pools(shared, now_seconds - MAX_IDLE_SECONDS)
+        log_dropped_lines(shared)
--- a/celeryturn/forwarding/listening.py
+++ b/celeryturn/forwarding/listening.py
@@ -2,7 +2,8 @@
 
 from celeryturn.errors import Fault
 from celeryturn.http.server import HttpServer
-from celeryturn.peers.network import Network, listen
+from celeryturn.peers.dialling import listen
+from celeryturn.peers.network import Network
 from celeryturn.settings import Endpoint
 
 
--- a/celeryturn/forwarding/metrics.py
+++ b/celeryturn/forwarding/metrics.py
@@ -13,6 +13,7 @@
 from celeryturn.forwarding.shared_state import SharedState
 from celeryturn.http.messages import HttpReply, HttpRequest
 from celeryturn.metrics import LATENCY_BUCKETS_SECONDS
+from celeryturn.traffic import Traffic
 
 METRICS_PATH: Final = '/metrics'
 OK: Final = 200
@@ -73,6 +74,7 @@
                 Kind.UNKNOWN_PATH, f'use {METRICS_PATH} or /v1/state'
             )
         _set_gauges(shared, self.gauges)
+        _set_traffic(shared.instance.metrics.traffic, self.gauges)
         rendered, headers = render(self.registry, ['text/plain'])
         content_type = ('content-type', headers['Content-Type'])
         return HttpReply(OK, (content_type,), rendered)
@@ -101,6 +103,9 @@
     ('extra_load_left', 'Extra requests that may be sent now by service'),
     ('requests_under_way', 'Requests that are being forwarded'),
     ('instances', 'Instances by status in the membership table'),
+    ('peer_messages', 'Messages sent to peers by type and destination'),
+    ('peer_bytes', 'Size of these messages in bytes'),
+    ('store_calls', 'Calls to the store by kind'),
     (
         'headers_ignored',
         'Headers of callers and targets that hold no valid number',
@@ -139,7 +144,7 @@
 
 
 def _set_gauges(shared: SharedState, gauges: dict[str, Gauge]) -> None:
-    age_seconds = shared_state.now() - shared.progress.last_contact_seconds
+    age_seconds = shared_state.now() - shared.progress.newest_seconds
     gauges['table_version'].set({}, shared_state.table_version(shared))
     gauges['store_age_seconds'].set({}, age_seconds)
     gauges['requests_under_way'].set({}, len(shared.in_flight))
@@ -184,6 +189,15 @@
         _set_gauge(gauges, 'instances', count, status=str(status))
 
 
+def _set_traffic(traffic: Traffic, gauges: dict[str, Gauge]) -> None:
+    for kind, message_count in traffic.peer_messages.items():
+        labels = kind._asdict()
+        gauges['peer_messages'].set(labels, message_count)
+        gauges['peer_bytes'].set(labels, traffic.peer_bytes[kind])
+    for call, call_count in traffic.store_calls.items():
+        gauges['store_calls'].set({'kind': call}, call_count)
+
+
 def _set_gauge(
     gauges: dict[str, Gauge], name: str, number: float, **labels: str
 ) -> None:
--- a/celeryturn/forwarding/peer_access.py
+++ b/celeryturn/forwarding/peer_access.py
@@ -1,12 +1,14 @@
 """Access of peers to the routes and targets of an instance."""
 
+import functools
+
+from celeryturn.decisions.fleet.delegates import has_other_instances
 from celeryturn.forwarding import peer_lists, shared_state
 from celeryturn.forwarding.leaving_targets import list_leaving, mark_leaving
 from celeryturn.forwarding.shared_state import SharedState
-from celeryturn.forwarding.store_watch import note_revision
 from celeryturn.instance import Routes
 from celeryturn.peers.messages import LeavingTargets
-from celeryturn.peers.network import Network, broadcast
+from celeryturn.peers.network import Network, announce_progress, broadcast
 
 
 def connect_peers(shared: SharedState, network: Network) -> None:
@@ -16,6 +18,9 @@
     :param network: Links to peers.
     """
     shared.instance.routes = _make_access(shared)
+    shared.callbacks.progressed.append(
+        lambda: _announce_if_needed(shared, network)
+    )
     shared.callbacks.target_leaving.append(
         lambda leaving: broadcast(network, LeavingTargets((leaving,)))
     )
@@ -26,13 +31,17 @@
         version=lambda: shared_state.table_version(shared),
         body=lambda: shared.table_body,
         offer=lambda body: _offer_table(shared, body),
-        revision=lambda: shared.progress.revision,
-        note_revision=lambda revision: note_revision(shared, revision),
+        position=lambda: shared.progress.position,
+        age_seconds=lambda: peer_lists.position_age_seconds(shared),
+        note_progress=functools.partial(peer_lists.note_progress, shared),
+        may_request_table=lambda version: peer_lists.may_request_table(
+            shared, version
+        ),
         lacks_routes_or_targets=lambda: peer_lists.lacks_routes_or_targets(
             shared
         ),
-        revision_to_request=lambda revision: peer_lists.revision_to_request(
-            shared, revision
+        position_to_request=lambda position: peer_lists.position_to_request(
+            shared, position
         ),
         collect_update=lambda since: peer_lists.collect_update(shared, since),
         apply_peer_update=lambda update: peer_lists.apply_peer_update(
@@ -45,3 +54,9 @@
 
 def _offer_table(shared: SharedState, body: bytes) -> None:
     shared_state.adopt_table(shared, body, 'peer')
+
+
+def _announce_if_needed(shared: SharedState, network: Network) -> None:
+    # In a fleet of delegates each instance follows the store itself.
+    if has_other_instances(shared.instance.membership):
+        announce_progress(network)
--- a/celeryturn/forwarding/request_log.py
+++ b/celeryturn/forwarding/request_log.py
@@ -72,7 +72,7 @@
         due_ms=_milliseconds(plan.due_seconds - plan.started_seconds),
         deadline_ms=_milliseconds(plan.deadline_seconds - plan.started_seconds),
         store_age_ms=_milliseconds(
-            now_seconds - shared.progress.last_contact_seconds
+            now_seconds - shared.progress.newest_seconds
         ),
         legs=_notable_legs(runner),
     )
--- a/celeryturn/forwarding/shared_state.py
+++ b/celeryturn/forwarding/shared_state.py
@@ -1,6 +1,5 @@
 """State that the parts of a forwarding instance share."""
 
-import asyncio
 from collections.abc import Callable
 from typing import Final, Protocol, TypeAlias
 
@@ -12,7 +11,6 @@
 from celeryturn.decisions.request.splitting import Splitter
 from celeryturn.decisions.targets.departures import TargetIncarnation
 from celeryturn.decisions.targets.directory import Directory
-from celeryturn.decisions.targets.entry_history import EntryHistory
 from celeryturn.decisions.targets.latency import LatencyWindow
 from celeryturn.errors import CeleryturnError
 from celeryturn.events import (
@@ -23,6 +21,7 @@
 )
 from celeryturn.forwarding.pools import Pool
 from celeryturn.forwarding.settings import ForwardingSettings
+from celeryturn.forwarding.store_progress import StoreProgress
 from celeryturn.instance import Instance
 from celeryturn.platform.documents import decode_table
 
@@ -31,51 +30,6 @@
 OnTargetLeaving: TypeAlias = Callable[[TargetIncarnation], None]
 
 
-class StoreProgress:
-    """Progress of reading the store of the platform.
-
-    :param revision: Revision of the store up to which no change was missed;
-        zero until the whole store has been read.
-    :param is_lost: Whether the last call to the store failed.
-    :param last_contact_seconds: Time of the last response of the store; before
-        the first one, the start of this instance.
-    :param failed_count: Number of consecutive failed calls, up to a maximum.
-    :param is_behind: Set when a peer or a check has shown a later revision for
-        too long.
-    :param peer_revision: Revision up to which peers have sent the list of
-        targets.
-    :param last_peer_request_seconds: Time of the last request to a peer for
-        the list of targets.
-    :param history: Revisions at which the entries of the list changed.
-    """
-
-    __slots__ = (
-        'failed_count',
-        'history',
-        'is_behind',
-        'is_lost',
-        'last_contact_seconds',
-        'last_peer_request_seconds',
-        'peer_revision',
-        'revision',
-    )
-
-    def __init__(self, started_seconds: float = 0.0) -> None:
-        self.revision = 0
-        self.is_lost = False
-        self.last_contact_seconds = started_seconds
-        self.failed_count = 0
-        self.is_behind = asyncio.Event()
-        self.peer_revision = 0
-        self.history = EntryHistory()
-        self.last_peer_request_seconds = 0.0
-
-    @property
-    def target_list_revision(self) -> int:
-        """Revision of the known list of targets, from the store or peers."""
-        return max(self.revision, self.peer_revision)
-
-
 class Stoppable(Protocol):
     """A request that can be ended early."""
 
@@ -104,13 +58,15 @@
     :param adopted: Receive every table that is adopted.
     :param target_leaving: Receive every target whose reply announces its
         departure.
+    :param progressed: Called when this instance knows more of the store.
     """
 
-    __slots__ = ('adopted', 'target_leaving')
+    __slots__ = ('adopted', 'progressed', 'target_leaving')
 
     def __init__(self) -> None:
         self.adopted: list[OnAdopted] = []
         self.target_leaving: list[OnTargetLeaving] = []
+        self.progressed: list[Callable[[], None]] = []
 
 
 class SharedState:
@@ -176,9 +132,19 @@
     _drop_removed_routes(shared, table)
     for callback in shared.callbacks.adopted:
         callback(table)
+    report_progress(shared)
     return True
 
 
+def report_progress(shared: SharedState) -> None:
+    """Call back since this instance knows more of the store.
+
+    :param shared: Shared state of the instance.
+    """
+    for callback in shared.callbacks.progressed:
+        callback()
+
+
 def _drop_removed_routes(shared: SharedState, table: RouteTable) -> None:
     route_names = {
         route.name
--- a/celeryturn/instance.py
+++ b/celeryturn/instance.py
@@ -13,6 +13,7 @@
 )
 from celeryturn.decisions.configuration.freshness import Freshness
 from celeryturn.decisions.fleet import membership
+from celeryturn.decisions.store_position import StorePosition
 from celeryturn.decisions.targets.departures import TargetIncarnation
 from celeryturn.decisions.targets.entry_history import EntryUpdate
 from celeryturn.errors import CeleryturnError, Kind
@@ -30,15 +31,19 @@
     :param version: Returns the current version; zero if there is none.
     :param body: Returns the routes as they were published.
     :param offer: Applies the routes of a peer.
-    :param revision: Returns the revision up to which the store was read.
-    :param note_revision: Records a revision that a peer has read.
+    :param position: Returns the position up to which targets are known.
+    :param age_seconds: Returns the time since that position was the newest.
+    :param note_progress: Records the version of the routes, the position of a
+        peer, and the age of the latter in seconds.
+    :param may_request_table: Returns whether to request a version of the
+        routes from a peer.
     :param lacks_routes_or_targets: Returns whether routes or targets are still
         unknown.
-    :param revision_to_request: Returns the revision since which targets are
+    :param position_to_request: Returns the position since which targets are
         requested from a peer; ``None`` if the store is available or the peer
         has no newer ones.
     :param collect_update: Returns the changes to the list of targets since a
-        revision.
+        position.
     :param apply_peer_update: Merges the list of targets of a peer.
     :param leaving_targets: Returns the targets that announced their departure.
     :param mark_leaving: Records such targets and returns those that were not
@@ -48,11 +53,13 @@
     version: Callable[[], int]
     body: Callable[[], bytes]
     offer: Callable[[bytes], None]
-    revision: Callable[[], int]
-    note_revision: Callable[[int], None]
+    position: Callable[[], StorePosition]
+    age_seconds: Callable[[], float]
+    note_progress: Callable[[int, StorePosition, float], None]
+    may_request_table: Callable[[int], bool]
     lacks_routes_or_targets: Callable[[], bool]
-    revision_to_request: Callable[[int], int | None]
-    collect_update: Callable[[int], EntryUpdate | None]
+    position_to_request: Callable[[StorePosition], StorePosition | None]
+    collect_update: Callable[[StorePosition], EntryUpdate | None]
     apply_peer_update: Callable[[EntryUpdate], None]
     leaving_targets: Callable[[], tuple[TargetIncarnation, ...]]
     mark_leaving: Callable[
@@ -64,7 +71,18 @@
     """Discard a value that this instance does not use."""
 
 
-def _return_none(_revision: int) -> None:
+def _ignore_progress(
+    _version: int, _position: StorePosition, _age_seconds: float
+) -> None:
+    """Discard what a peer knows of the store."""
+
+
+def _return_false(_version: int) -> bool:
+    """Return ``False`` because no routes are used."""
+    return False
+
+
+def _return_none(_position: StorePosition) -> None:
     """Return ``None`` because there is nothing to exchange."""
 
 
@@ -72,10 +90,12 @@
     version=int,
     body=bytes,
     offer=_ignore,
-    revision=int,
-    note_revision=_ignore,
+    position=StorePosition,
+    age_seconds=float,
+    note_progress=_ignore_progress,
+    may_request_table=_return_false,
     lacks_routes_or_targets=bool,
-    revision_to_request=_return_none,
+    position_to_request=_return_none,
     collect_update=_return_none,
     apply_peer_update=_ignore,
     leaving_targets=tuple,
@@ -93,7 +113,7 @@
     :param freshness: When the configuration was last confirmed.
     :param membership: Known state of all instances.
     :param bookings: Table of recent booking ids.
-    :param metrics: Metric collectors.
+    :param metrics: Metric collectors and counts of traffic.
     :param on_adopted: Callbacks that receive every adopted document.
     :param probes: Future of the query that probes for the snapshot, by
         service; it completes when the probe ends.
--- a/celeryturn/metrics.py
+++ b/celeryturn/metrics.py
@@ -7,6 +7,7 @@
 
 from celeryturn.decisions.targets.messages import QueryAnswer
 from celeryturn.errors import Kind
+from celeryturn.traffic import Traffic
 
 LATENCY_BUCKETS_SECONDS: Final = (
     0.001,
@@ -33,9 +34,11 @@
     :param sub_requests: Count of sub-requests, needed and sent.
     :param refusals: Count of refusals by kind.
     :param gauges: Gauges by name, set when the metrics are read.
+    :param traffic: Messages to peers and calls to the store.
     """
 
     def __init__(self) -> None:
+        self.traffic = Traffic()
         self.registry = Registry()
         self.latency = Histogram(
             'celeryturn_answer_seconds',
--- a/celeryturn/peers/handlers.py
+++ b/celeryturn/peers/handlers.py
@@ -9,6 +9,7 @@
     PeerConfirmation,
     record_peer_confirmation,
 )
+from celeryturn.decisions.store_position import StorePosition
 from celeryturn.instance import Instance, offer_document
 from celeryturn.peers import messages
 from celeryturn.queries.dump import configuration_age_seconds
@@ -52,8 +53,19 @@
         age_seconds=NO_AGE_SECONDS if age_seconds is None else age_seconds,
         versions_digest=versions_digest(instance),
         highest_revision=instance.freshness.highest_revision,
-        table_version=instance.routes.version(),
-        store_revision=instance.routes.revision(),
+        progress=build_progress(instance),
+    )
+
+
+def build_progress(instance: Instance) -> messages.Progress:
+    """Describe what an instance knows of the store.
+
+    :param instance: The instance.
+    :returns: A part of messages to peers.
+    """
+    routes = instance.routes
+    return messages.Progress(
+        routes.version(), routes.position(), routes.age_seconds()
     )
 
 
@@ -96,51 +108,53 @@
     instance: Instance, message: messages.Message
 ) -> Iterator[messages.Message]:
     match message:
-        case messages.Ping() | messages.Pong():
-            yield from _request_newer_table(instance, message)
-            yield from request_target_list(instance, message.store_revision)
+        case messages.Ping() | messages.Pong() | messages.Announcement():
+            yield from _request_missing(instance, message.progress)
         case messages.TableRequest():
             yield from _reply_with_table(instance)
-        case messages.Table(body):
-            instance.routes.offer(body)
-        case messages.TargetListRequest(since_revision):
-            yield from _reply_with_target_list(instance, since_revision)
+        case messages.Table():
+            instance.routes.offer(messages.table_body(message))
+        case messages.TargetListRequest(since):
+            yield from _reply_with_target_list(instance, since)
         case messages.TargetList(update):
             instance.routes.apply_peer_update(update)
 
 
 def request_target_list(
-    instance: Instance, peer_revision: int
+    instance: Instance, peer_position: StorePosition
 ) -> Iterator[messages.TargetListRequest]:
     """Request the list of targets if the store does not provide it.
 
     :param instance: The instance that may need the list.
-    :param peer_revision: Revision up to which the peer has read the store;
-        zero if it is not known.
+    :param peer_position: Position up to which the peer knows the targets.
     :returns: One request, or none if the list is not needed.
     """
-    since_revision = instance.routes.revision_to_request(peer_revision)
-    if since_revision is not None:
-        yield messages.TargetListRequest(since_revision)
+    since = instance.routes.position_to_request(peer_position)
+    if since is not None:
+        yield messages.TargetListRequest(since)
 
 
-def _request_newer_table(
-    instance: Instance, message: messages.Ping | messages.Pong
-) -> Iterator[messages.TableRequest]:
-    instance.routes.note_revision(message.store_revision)
-    if message.table_version > instance.routes.version():
-        yield messages.TableRequest(message.table_version)
+def _request_missing(
+    instance: Instance, progress: messages.Progress
+) -> Iterator[messages.TableRequest | messages.TargetListRequest]:
+    routes = instance.routes
+    routes.note_progress(
+        progress.table_version, progress.position, progress.age_seconds
+    )
+    if routes.may_request_table(progress.table_version):
+        yield messages.TableRequest(progress.table_version)
+    yield from request_target_list(instance, progress.position)
 
 
 def _reply_with_table(instance: Instance) -> Iterator[messages.Table]:
     if instance.routes.version():
-        yield messages.Table(instance.routes.body())
+        yield messages.make_table(instance.routes.body())
 
 
 def _reply_with_target_list(
-    instance: Instance, since_revision: int
+    instance: Instance, since: StorePosition
 ) -> Iterator[messages.TargetList]:
-    update = instance.routes.collect_update(since_revision)
+    update = instance.routes.collect_update(since)
     if update is not None:
         yield messages.TargetList(update)
 
--- a/celeryturn/peers/links.py
+++ b/celeryturn/peers/links.py
@@ -1,13 +1,22 @@
 """A link to another instance and its queue of outgoing messages."""
 
 import asyncio
+from collections.abc import Callable, Iterable
 from typing import Final, TypeAlias
 
 from websockets.asyncio.client import ClientConnection
 from websockets.asyncio.server import ServerConnection
 from websockets.exceptions import WebSocketException
 
+from celeryturn.decisions.fleet.dissemination import (
+    News,
+    add_news,
+    seconds_until_due,
+    take_news,
+)
+from celeryturn.decisions.fleet.membership import Member
 from celeryturn.peers import messages
+from celeryturn.timer import Timer
 
 Socket: TypeAlias = ClientConnection | ServerConnection
 
@@ -22,18 +31,35 @@
         peer has sent its hello.
     :param is_dialled: Whether this instance opened the link and therefore
         sends the pings on it.
+    :param is_neighbour: Whether membership is exchanged; not on a link through
+        which an instance joins.
     :param queue: Messages to send, oldest first.
+    :param news: Changed membership entries to send.
+    :param flush_timer: Sends them when they are due.
     """
 
-    __slots__ = ('instance', 'is_dialled', 'queue', 'socket')
-
-    def __init__(self, socket: Socket, instance: str = '') -> None:
+    __slots__ = (
+        'flush_timer',
+        'instance',
+        'is_dialled',
+        'is_neighbour',
+        'news',
+        'queue',
+        'socket',
+    )
+
+    def __init__(
+        self, socket: Socket, instance: str = '', *, is_seed: bool = False
+    ) -> None:
         self.socket = socket
+        self.is_neighbour = not is_seed
         self.is_dialled = bool(instance)
         self.instance = instance
         self.queue: asyncio.Queue[messages.Message] = asyncio.Queue(
             MAX_QUEUED_MESSAGES
         )
+        self.news = News()
+        self.flush_timer = Timer()
 
 
 def enqueue(link: PeerLink, message: messages.Message) -> None:
@@ -48,15 +74,51 @@
         link.socket.transport.abort()
 
 
-async def send_queued(link: PeerLink) -> None:
+def tell_news(
+    link: PeerLink, changed: Iterable[Member], now_seconds: float
+) -> None:
+    """Queue changed membership entries, in batches if there are many.
+
+    :param link: The link.
+    :param changed: The changed entries.
+    :param now_seconds: Current time.
+    """
+    add_news(link.news, changed)
+    due_seconds = seconds_until_due(link.news, now_seconds)
+    if due_seconds:
+        link.flush_timer.arm(
+            due_seconds, lambda: flush_news(link, now_seconds + due_seconds)
+        )
+    else:
+        flush_news(link, now_seconds)
+
+
+def flush_news(link: PeerLink, now_seconds: float) -> None:
+    """Queue the pending membership entries now.
+
+    :param link: The link.
+    :param now_seconds: Current time.
+    """
+    link.flush_timer.disarm()
+    taken = take_news(link.news, now_seconds)
+    if taken:
+        enqueue(link, messages.Members(taken))
+
+
+async def send_queued(
+    link: PeerLink, on_sent: Callable[[messages.Message, int], None]
+) -> None:
     """Send queued messages until cancelled or the link fails.
 
     :param link: The link.
+    :param on_sent: Called with each message and its size in bytes.
     """
     while True:
         message = await link.queue.get()
+        encoded = messages.pack(message)
+        on_sent(message, len(encoded))
         try:
-            await link.socket.send(messages.pack(message))
+            await link.socket.send(encoded)
         except (OSError, WebSocketException):
             link.socket.transport.abort()
             return
--- a/celeryturn/peers/messages.py
+++ b/celeryturn/peers/messages.py
@@ -1,22 +1,34 @@
-"""Typed messages between instances and their encoding."""
+"""Typed messages between instances and their encoding.
 
+A message is a CBOR array: the protocol version, the code of the message type,
+and the fields in order.  What a later build appends, fields as well as message
+types, is ignored, so that instances of two builds form one fleet.
+"""
+
+import zlib
 from collections.abc import Mapping
 from types import MappingProxyType
-from typing import Final, NamedTuple, TypeAlias
+from typing import Annotated, Final, NamedTuple, TypeAlias
 
 import cbor2
+import msgspec
 
 from celeryturn.decisions.fleet.membership import Member
+from celeryturn.decisions.store_position import NO_POSITION, StorePosition
 from celeryturn.decisions.targets.departures import TargetIncarnation
 from celeryturn.decisions.targets.entry_history import EntryUpdate
 from celeryturn.errors import CeleryturnError, Kind
-from celeryturn.schema import decode, encode
-from celeryturn.units import ClockSeconds, Count, Digest, Name
+from celeryturn.schema import drop_unknown_fields
+from celeryturn.units import ClockSeconds, Count, Name
+from celeryturn.units import Digest as HashDigest
 
-PROTOCOL_VERSION: Final = 1
+PROTOCOL_VERSION: Final = 2
 MAX_MESSAGE_BYTES: Final = 2_000_000
-_TYPE_FIELD: Final = 'type'
-_PROTOCOL_FIELD: Final = 'protocol'
+MAX_TABLE_BYTES: Final = 2_000_000
+MAX_AGE_SECONDS: Final = 1e6
+_HEADER_LENGTH: Final = 2
+
+AgeSeconds: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=MAX_AGE_SECONDS)]
 
 
 class Hello(NamedTuple):
@@ -28,19 +40,57 @@
     instance: Name
 
 
+class Join(NamedTuple):
+    """A request for the next instances on the ring, from one that starts.
+
+    :param member: Entry of the sender.
+    """
+
+    member: Member
+
+
+class Digest(NamedTuple):
+    """Digest of the sender's membership table: first on a link of neighbours.
+
+    :param buckets: Hashes of the entries of each bucket.
+    :param is_reply: Whether it answers a digest that differs.
+    """
+
+    buckets: bytes
+    is_reply: bool = False
+
+
+class Progress(NamedTuple):
+    """What the sender knows of the store; part of other messages.
+
+    :param table_version: Version of the routes; zero if it has none.
+    :param position: Position of the store up to which it knows the targets.
+    :param age_seconds: Time since this was known to be the newest position.
+    """
+
+    table_version: Count = 0
+    position: StorePosition = NO_POSITION
+    age_seconds: AgeSeconds = MAX_AGE_SECONDS
+
+
+class Announcement(NamedTuple):
+    """News that the sender knows more of the store than before.
+
+    :param progress: What it knows.
+    """
+
+    progress: Progress
+
+
 class Ping(NamedTuple):
     """A request that every live peer answers immediately.
 
     :param sent_seconds: Time of sending by the sender's clock.
-    :param table_version: Version of the sender's routes; zero if it has
-        none.
-    :param store_revision: Revision up to which the sender has followed the
-        store.
+    :param progress: What the sender knows of the store.
     """
 
     sent_seconds: ClockSeconds
-    table_version: Count = 0
-    store_revision: Count = 0
+    progress: Progress = Progress()
 
 
 class Pong(NamedTuple):
@@ -52,22 +102,18 @@
     :param versions_digest: Hash of the current documents of all services.
     :param highest_revision: Highest revision that the sender has received
         from the configuration service.
-    :param table_version: Version of the sender's routes; zero if it has
-        none.
-    :param store_revision: Revision up to which the sender has followed the
-        store.
+    :param progress: What the sender knows of the store.
     """
 
     echo_seconds: ClockSeconds
     age_seconds: ClockSeconds
-    versions_digest: Digest
+    versions_digest: HashDigest
     highest_revision: Count
-    table_version: Count = 0
-    store_revision: Count = 0
+    progress: Progress = Progress()
 
 
 class Members(NamedTuple):
-    """Known states of instances: all on a new link, then changes only.
+    """Known states of instances.
 
     :param members: Membership entries.
     """
@@ -115,26 +161,25 @@
 class Table(NamedTuple):
     """The routes, as they were published.
 
-    :param body: Bytes of the published routes.
+    :param compressed_body: Bytes of the published routes, compressed.
     """
 
-    body: bytes
+    compressed_body: bytes
 
 
 class TargetListRequest(NamedTuple):
     """A request for the list of targets.
 
-    :param since_revision: Revision up to which the sender has the list;
-        zero requests the whole list.
+    :param since: Position up to which the sender has the list.
     """
 
-    since_revision: Count
+    since: StorePosition
 
 
 class TargetList(NamedTuple):
-    """The list of targets, or its changes since a revision.
+    """The list of targets, or its changes since a position.
 
-    :param listed: Entries and the revision they belong to.
+    :param listed: Entries and the position they belong to.
     """
 
     listed: EntryUpdate
@@ -151,6 +196,9 @@
 
 Message: TypeAlias = (
     Hello
+    | Join
+    | Digest
+    | Announcement
     | Ping
     | Pong
     | Members
@@ -164,24 +212,28 @@
     | LeavingTargets
 )
 
-_TYPES_BY_NAME: Final[Mapping[str, type[Message]]] = MappingProxyType(
+# A code is never used again for another type.
+_TYPES_BY_CODE: Final[Mapping[int, type[Message]]] = MappingProxyType(
     {
-        'hello': Hello,
-        'ping': Ping,
-        'pong': Pong,
-        'members': Members,
-        'versions': Versions,
-        'want': DocumentRequest,
-        'document': Document,
-        'want_table': TableRequest,
-        'table': Table,
-        'want_listed': TargetListRequest,
-        'target_list': TargetList,
-        'leaving_targets': LeavingTargets,
+        1: Hello,
+        2: Join,
+        3: Digest,
+        4: Members,
+        5: Ping,
+        6: Pong,
+        7: Announcement,
+        8: Versions,
+        9: DocumentRequest,
+        10: Document,
+        11: TableRequest,
+        12: Table,
+        13: TargetListRequest,
+        14: TargetList,
+        15: LeavingTargets,
     }
 )
-_NAMES_BY_TYPE: Final[Mapping[type[Message], str]] = MappingProxyType(
-    {shape: name for name, shape in _TYPES_BY_NAME.items()}
+_CODES_BY_TYPE: Final[Mapping[type[Message], int]] = MappingProxyType(
+    {shape: code for code, shape in _TYPES_BY_CODE.items()}
 )
 
 
@@ -189,22 +241,17 @@
     """Encode a message.
 
     :param message: The message.
-    :returns: The message as one CBOR map.
+    :returns: The message as one CBOR array.
     """
-    fields = encode(message)
-    envelope = {
-        _TYPE_FIELD: _NAMES_BY_TYPE[type(message)],
-        _PROTOCOL_FIELD: PROTOCOL_VERSION,
-        'fields': fields,
-    }
-    return cbor2.dumps(envelope)
+    code = _CODES_BY_TYPE[type(message)]
+    return cbor2.dumps([PROTOCOL_VERSION, code, *message])
 
 
-def unpack(encoded: bytes) -> Message:
+def unpack(encoded: bytes) -> Message | None:
     """Decode a message.
 
     :param encoded: The received bytes.
-    :returns: The message.
+    :returns: The message; ``None`` if this build does not know its type.
     :raises CeleryturnError: ``peer_protocol`` if the message is not valid;
         ``peer_too_large`` if it exceeds :data:`MAX_MESSAGE_BYTES`.
     """
@@ -215,23 +262,56 @@
             f'at most {MAX_MESSAGE_BYTES} are allowed',
         )
     envelope = _load_envelope(encoded)
-    protocol = envelope.get(_PROTOCOL_FIELD)
+    protocol, code = envelope[:_HEADER_LENGTH]
     if protocol != PROTOCOL_VERSION:
         raise CeleryturnError(
             Kind.PEER_PROTOCOL,
             f'protocol version {protocol!r} is not supported; '
             f'this instance uses version {PROTOCOL_VERSION}',
         )
-    name = envelope.get(_TYPE_FIELD)
-    message_type = _TYPES_BY_NAME.get(name) if isinstance(name, str) else None
+    if not isinstance(code, int):
+        raise CeleryturnError(
+            Kind.PEER_PROTOCOL, 'the message type must be a number'
+        )
+    message_type = _TYPES_BY_CODE.get(code)
     if message_type is None:
+        return None
+    return _decode_fields(message_type, envelope[_HEADER_LENGTH:])
+
+
+def make_table(body: bytes) -> Table:
+    """Build the message that contains the routes.
+
+    :param body: Bytes of the published routes.
+    :returns: The message.
+    """
+    return Table(zlib.compress(body))
+
+
+def table_body(message: Table) -> bytes:
+    """Return the routes that a message contains.
+
+    :param message: The message.
+    :returns: Bytes of the published routes.
+    :raises CeleryturnError: ``peer_protocol`` if they cannot be decompressed
+        or are larger than :data:`MAX_TABLE_BYTES`.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        body = decompressor.decompress(message.compressed_body, MAX_TABLE_BYTES)
+    except zlib.error as error:
         raise CeleryturnError(
-            Kind.PEER_PROTOCOL, f'unknown message type {name!r}'
+            Kind.PEER_PROTOCOL, f'routes cannot be decompressed: {error}'
+        ) from error
+    if not decompressor.eof:
+        raise CeleryturnError(
+            Kind.PEER_PROTOCOL,
+            f'routes are incomplete or larger than {MAX_TABLE_BYTES} bytes',
         )
-    return _decode_fields(message_type, envelope.get('fields'))
+    return body
 
 
-def _load_envelope(encoded: bytes) -> Mapping[object, object]:
+def _load_envelope(encoded: bytes) -> list[object]:
     try:
         envelope = cbor2.loads(encoded)
     # cbor2 does not wrap the errors of its hooks and of huge sizes.
@@ -239,15 +319,19 @@
         raise CeleryturnError(
             Kind.PEER_PROTOCOL, f'message is not valid CBOR: {error}'
         ) from error
-    if not isinstance(envelope, Mapping):
-        raise CeleryturnError(Kind.PEER_PROTOCOL, 'message must be a CBOR map')
+    if not isinstance(envelope, list) or len(envelope) < _HEADER_LENGTH:
+        raise CeleryturnError(
+            Kind.PEER_PROTOCOL,
+            'message must be a CBOR array of a protocol version, a type and'
+            ' fields; builds with protocol version 1 send maps',
+        )
     return envelope
 
 
-def _decode_fields(shape: type[Message], fields: object) -> Message:
-    decoded = decode(shape, fields)
-    if decoded.parsed is None:
+def _decode_fields(shape: type[Message], fields: list[object]) -> Message:
+    try:
+        return msgspec.convert(drop_unknown_fields(shape, fields), shape)
+    except msgspec.ValidationError as error:
         raise CeleryturnError(
-            Kind.PEER_PROTOCOL, 'message has invalid fields', decoded.faults
-        )
-    return decoded.parsed
+            Kind.PEER_PROTOCOL, f'message has invalid fields: {error}'
+        ) from error
--- /dev/null
+++ b/celeryturn/peers/sessions.py
@@ -0,0 +1,180 @@
+"""Messages of one link: the greeting, and the answers to what is received."""
+
+import asyncio
+import functools
+from collections.abc import Iterable
+
+from websockets.exceptions import WebSocketException
+
+from celeryturn.decisions.fleet import membership
+from celeryturn.decisions.fleet.dissemination import (
+    differing_members,
+    digest_members,
+    discard_known,
+    introduce,
+)
+from celeryturn.errors import CeleryturnError
+from celeryturn.events import PEER_REFUSED, log
+from celeryturn.instance import (
+    MAX_SERVICE_COUNT,
+    Instance,
+    current_versions,
+)
+from celeryturn.peers import messages
+from celeryturn.peers.handlers import build_progress, handle_message
+from celeryturn.peers.links import PeerLink, enqueue, send_queued, tell_news
+from celeryturn.peers.network import Network, broadcast, broadcast_members
+from celeryturn.traffic import count_peer_message
+
+
+async def run_link(network: Network, link: PeerLink) -> None:
+    """Exchange messages on a link until it ends.
+
+    :param network: The network.
+    :param link: The link.
+    """
+    network.links.add(link)
+    writer = asyncio.get_running_loop().create_task(
+        send_queued(link, functools.partial(_count_sent, network, link))
+    )
+    _greet(network, link)
+    try:
+        await _read(network, link)
+    except CeleryturnError as error:
+        log(PEER_REFUSED, peer=link.instance, detail=str(error))
+    except (OSError, WebSocketException):
+        return
+    finally:
+        writer.cancel()
+        _forget_link(network, link)
+
+
+def _forget_link(network: Network, link: PeerLink) -> None:
+    link.flush_timer.disarm()
+    network.links.discard(link)
+
+
+def _greet(network: Network, link: PeerLink) -> None:
+    # The side that dialled states which entries it lacks, or asks to join.
+    instance = network.instance
+    enqueue(link, messages.Hello(instance.settings.instance))
+    if link.is_dialled:
+        if link.is_neighbour:
+            enqueue(link, messages.Digest(_own_digest(instance)))
+        else:
+            enqueue(link, messages.Join(instance.membership.own))
+    enqueue(link, messages.Versions(current_versions(instance)))
+    if instance.routes.version():
+        enqueue(link, messages.Announcement(build_progress(instance)))
+    leaving = instance.routes.leaving_targets()
+    if leaving:
+        enqueue(link, messages.LeavingTargets(leaving))
+
+
+def _own_digest(instance: Instance) -> bytes:
+    return digest_members(instance.membership.members.values())
+
+
+def _count_sent(
+    network: Network, link: PeerLink, message: messages.Message, size_bytes: int
+) -> None:
+    instance = network.instance
+    peer = instance.membership.members.get(link.instance)
+    zone = instance.settings.availability_zone
+    count_peer_message(
+        instance.metrics.traffic,
+        type(message).__name__,
+        size_bytes,
+        is_same_zone=peer is not None and peer.availability_zone == zone,
+    )
+
+
+async def _read(network: Network, link: PeerLink) -> None:
+    idle_seconds = network.instance.settings.timing.peer_idle_seconds
+    while True:
+        async with asyncio.timeout(idle_seconds):
+            encoded = await link.socket.recv(decode=False)
+        message = messages.unpack(bytes(encoded))
+        if message is not None:
+            _handle_message(network, link, message)
+
+
+def _handle_message(
+    network: Network, link: PeerLink, message: messages.Message
+) -> None:
+    instance = network.instance
+    if isinstance(message, messages.Hello):
+        link.instance = message.instance
+    if isinstance(message, messages.Versions):
+        _record_versions(network, message)
+    if link.instance:
+        membership.record_contact(
+            instance.membership, link.instance, instance.clock()
+        )
+    match message:
+        case messages.Join(member):
+            _introduce(network, link, member)
+        case messages.Digest():
+            _reply_to_digest(network, link, message)
+        case messages.Members(offered):
+            _merge_members(network, link, offered)
+        case messages.LeavingTargets():
+            _merge_leaving_targets(network, link, message)
+        case _:
+            for reply in handle_message(instance, message):
+                enqueue(link, reply)
+
+
+def _introduce(
+    network: Network, link: PeerLink, joining: membership.Member
+) -> None:
+    link.is_neighbour = False
+    _merge_members(network, link, (joining,))
+    introduced = introduce(network.instance.membership, joining)
+    enqueue(link, messages.Members(introduced))
+
+
+def _reply_to_digest(
+    network: Network, link: PeerLink, digest: messages.Digest
+) -> None:
+    known = network.instance.membership.members.values()
+    own_digest = digest_members(known)
+    if own_digest == digest.buckets:
+        return
+    if not digest.is_reply:
+        enqueue(link, messages.Digest(own_digest, is_reply=True))
+    differing = differing_members(known, digest.buckets)
+    if differing:
+        enqueue(link, messages.Members(differing))
+
+
+def _record_versions(network: Network, message: messages.Versions) -> None:
+    network.first_contact.set()
+    peer_versions = network.peer_versions
+    for name, version in message.versions.items():
+        if name in peer_versions or len(peer_versions) < MAX_SERVICE_COUNT:
+            peer_versions[name] = max(version, peer_versions.get(name, 0))
+
+
+def _merge_members(
+    network: Network, link: PeerLink, offered: Iterable[membership.Member]
+) -> None:
+    instance = network.instance
+    received = tuple(offered)
+    discard_known(link.news, received)
+    changed = membership.merge_entries(
+        instance.membership, received, instance.clock()
+    )
+    broadcast_members(network, changed, link)
+    # A refutation answers what this peer has sent.
+    refuted = [own for own in changed if own == instance.membership.own]
+    if refuted:
+        tell_news(link, refuted, instance.clock())
+
+
+def _merge_leaving_targets(
+    network: Network, link: PeerLink, message: messages.LeavingTargets
+) -> None:
+    marked = network.instance.routes.mark_leaving(message.targets)
+    if marked:
+        broadcast(network, messages.LeavingTargets(tuple(marked)), link)
--- a/celeryturn/platform/store.py
+++ b/celeryturn/platform/store.py
@@ -1,12 +1,16 @@
 """Client of the platform's store: reads a prefix and watches for changes."""
 
+from collections import Counter
 from typing import Final, NamedTuple, TypedDict, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
 
+from celeryturn.decisions.store_position import StorePosition
+from celeryturn.events import HEADER_IGNORED, log
 from celeryturn.http.client import Connection, connect
-from celeryturn.http.messages import HttpReply, HttpRequest
+from celeryturn.http.messages import HttpReply, HttpRequest, header
+from celeryturn.number_text import read_count
 from celeryturn.settings import Endpoint
 from celeryturn.units import Count
 
@@ -19,6 +23,10 @@
 MAX_PAGES: Final = 200
 # Only the revision in the response is of interest.
 NO_KEY_PREFIX: Final = 'none/'
+# Number of times that the store was restored from a copy.
+ERA_HEADER: Final = 'store-era'
+MAX_ERA: Final = 1_000_000
+MAX_LOGGED_CHARACTERS: Final = 40
 
 
 class StoreError(ConnectionError):
@@ -34,27 +42,30 @@
 
     :param key: The key.
     :param body: Value of the key, or ``None`` if it was deleted.
+    :param revision: Revision of the change.
     """
 
     key: str
     body: bytes | None
+    revision: int = 0
 
 
 class Changes(NamedTuple):
     """Response of the store to a read or a watch.
 
     :param changes: Keys in the order in which they changed.
-    :param revision: Revision up to which all changes are included.
+    :param position: Position up to which all changes are included.
     """
 
     changes: tuple[Change, ...]
-    revision: int
+    position: StorePosition
 
 
 class _ItemBody(TypedDict, total=False):
     Key: str
     # Standard base64, decoded by msgspec.  Other writers may store any bytes.
     Value: str
+    Revision: Count
     Deleted: bool
 
 
@@ -77,37 +88,42 @@
     """One connection to the store, reopened after any failure.
 
     :param endpoint: Address and port of the store.
+    :param era: Last era that the store stated; zero before.
+    :param call_counts: Number of calls by kind, for metrics.
     """
 
-    __slots__ = ('_connection', 'endpoint')
+    __slots__ = ('_connection', 'call_counts', 'endpoint', 'era')
 
-    def __init__(self, endpoint: Endpoint) -> None:
+    def __init__(self, endpoint: Endpoint, call_counts: Counter[str]) -> None:
         self.endpoint = endpoint
+        self.era = 0
+        self.call_counts = call_counts
         self._connection: Connection | None = None
 
-    async def read(self, prefix: str, timeout_seconds: float) -> Changes:
+    async def read(
+        self, prefix: str, timeout_seconds: float, *, may_be_old: bool = False
+    ) -> Changes:
         """Read all keys with a prefix.
 
         :param prefix: Prefix of the keys.
         :param timeout_seconds: Maximum wait for each page.
-        :returns: The keys, with the revision of the first page, since the
+        :param may_be_old: Whether the keys may be seconds old; such a read
+            costs a tenth and is not limited in rate.
+        :returns: The keys, with the lowest position of all pages, since the
             pages together are not a consistent snapshot.
         :raises StoreError: If not all keys can be read.
         """
         changes: list[Change] = []
-        revision = 0
+        positions: list[StorePosition] = []
         after = ''
-        for page in range(MAX_PAGES):
-            query = {'Prefix': prefix}
-            if after:
-                # A key here; in a watch, this field is a revision.
-                query['after'] = after
+        for _ in range(MAX_PAGES):
+            query = _range_query(prefix, after, may_be_old=may_be_old)
             reply = await self._get('/v1/kv-range', query, timeout_seconds)
             body = _decode(_range_decoder, reply)
-            revision = revision if page else body['CurrentRev']
+            positions.append(StorePosition(self.era, body['CurrentRev']))
             changes.extend(map(_decode_change, body['items']))
             if not body['HasMore'] or not changes:
-                return Changes(tuple(changes), revision)
+                return Changes(tuple(changes), min(positions))
             after = changes[-1].key
         raise StoreError(
             f'{prefix}: the prefix has more than {MAX_PAGES} pages'
@@ -140,20 +156,22 @@
         )
         body = _decode(_watch_decoder, reply)
         changes = tuple(map(_decode_change, body['events']))
-        return Changes(changes, body['CurrentRev'])
+        position = StorePosition(self.era, body['CurrentRev'])
+        return Changes(changes, position)
 
-    async def read_revision(self, timeout_seconds: float) -> int:
-        """Read the revision of the store, which may be seconds old.
+    async def read_position(self, timeout_seconds: float) -> StorePosition:
+        """Read the position of the store, which may be seconds old.
 
         Such a read costs a tenth of any other call.
 
         :param timeout_seconds: Maximum wait for the response.
-        :returns: A revision that the store has reached.
+        :returns: A position that the store has reached.
         :raises StoreError: If there is no usable response.
         """
-        query = {'Prefix': NO_KEY_PREFIX, 'Serializable': '1'}
-        reply = await self._get('/v1/kv-range', query, timeout_seconds)
-        return _decode(_range_decoder, reply)['CurrentRev']
+        no_keys = await self.read(
+            NO_KEY_PREFIX, timeout_seconds, may_be_old=True
+        )
+        return no_keys.position
 
     def close(self) -> None:
         """Close the connection, if it is open."""
@@ -164,6 +182,7 @@
     async def _get(
         self, path: str, query: dict[str, str], timeout_seconds: float
     ) -> HttpReply:
+        self.call_counts[_call_kind(path, query)] += 1
         # An empty prefix is valid and is sent as well.
         request = HttpRequest('GET', f'{path}?{urlencode(query)}')
         try:
@@ -172,6 +191,7 @@
             # A connection delivers no further replies after a failure.
             self.close()
             raise
+        self._record_era(reply)
         if reply.status == HISTORY_GONE_STATUS:
             raise HistoryGoneError(
                 f'{path}: the store no longer holds the requested changes'
@@ -181,6 +201,20 @@
             raise StoreError(f'{path}: unexpected status {reply.status}')
         return reply
 
+    def _record_era(self, reply: HttpReply) -> None:
+        text = header(reply.headers, ERA_HEADER)
+        if text is None:
+            return
+        era = read_count(text, MAX_ERA)
+        if era is None:
+            log(
+                HEADER_IGNORED,
+                sender='store',
+                text=text[:MAX_LOGGED_CHARACTERS],
+            )
+        else:
+            self.era = era
+
     async def _exchange(
         self, request: HttpRequest, timeout_seconds: float
     ) -> HttpReply:
@@ -195,6 +229,26 @@
         return await connection.exchange_within(request, timeout_seconds)
 
 
+def _range_query(
+    prefix: str, after: str, *, may_be_old: bool
+) -> dict[str, str]:
+    query = {'Prefix': prefix}
+    if after:
+        # A key here; in a watch, this field is a revision.
+        query['after'] = after
+    if may_be_old:
+        query['Serializable'] = '1'
+    return query
+
+
+def _call_kind(path: str, query: dict[str, str]) -> str:
+    if path.endswith('watch'):
+        return 'watch'
+    if 'Serializable' in query:
+        return 'old read'
+    return 'read'
+
+
 def _decode(decoder: msgspec.json.Decoder[BodyT], reply: HttpReply) -> BodyT:
     try:
         return decoder.decode(reply.body)
@@ -206,12 +260,13 @@
 
 def _decode_change(item: _ItemBody) -> Change:
     key = item.get('Key', '')
+    revision = item.get('Revision', 0)
     if item.get('Deleted'):
-        return Change(key, None)
+        return Change(key, None, revision)
     try:
         body = msgspec.convert(item.get('Value', ''), bytes)
     except msgspec.ValidationError:
         # Bytes of another writer that are not base64.  The empty body that
         # replaces them is not a valid value of any key.
         body = b''
-    return Change(key, body)
+    return Change(key, body, revision)
--- a/celeryturn/queries/routed_dump.py
+++ b/celeryturn/queries/routed_dump.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from celeryturn.decisions.fleet import membership
+from celeryturn.decisions.store_position import StorePosition
 from celeryturn.decisions.targets import directory
 from celeryturn.decisions.targets.replicas import Replica, decayed_slowness
 from celeryturn.forwarding import shared_state
@@ -16,17 +17,20 @@
     :param is_lost: Whether the last call to the store failed.
     :param age_seconds: Seconds since the store last responded, or since the
         start of the instance if it has not responded.
-    :param revision: Revision up to which no change of the store was missed;
-        zero before a complete read.
-    :param peer_revision: Revision up to which peers sent the list of targets;
-        zero if none did.
+    :param position: Position up to which no change of the targets was missed;
+        the revision is zero before all of them are known.
+    :param newest_age_seconds: Seconds since this was known to be the newest
+        position.
+    :param relies_on_peers: Whether delegates follow the store for this
+        instance.
     :param failed_count: Number of consecutive failed calls, up to a maximum.
     """
 
     is_lost: bool
     age_seconds: float
-    revision: int
-    peer_revision: int
+    position: StorePosition
+    newest_age_seconds: float
+    relies_on_peers: bool
     failed_count: int
 
 
@@ -148,8 +152,9 @@
     return StoreDump(
         is_lost=progress.is_lost,
         age_seconds=shared_state.now() - progress.last_contact_seconds,
-        revision=progress.revision,
-        peer_revision=progress.peer_revision,
+        position=progress.position,
+        newest_age_seconds=shared_state.now() - progress.newest_seconds,
+        relies_on_peers=progress.relies_on_peers,
         failed_count=progress.failed_count,
     )
 
--- a/celeryturn/schema.py
+++ b/celeryturn/schema.py
@@ -78,6 +78,27 @@
     return structure
 
 
+def drop_unknown_fields(schema: Any, raw: object) -> object:
+    """Drop what a later build appended to the fields of named tuples.
+
+    :param schema: The named tuple class, or a type that contains some.
+    :param raw: Fields in order, in nested lists.
+    :returns: The fields that the classes define.
+    """
+    if not isinstance(raw, list):
+        return raw
+    if _is_named_tuple(schema):
+        hints = _field_types(schema).values()
+        return [
+            drop_unknown_fields(hint, part)
+            for hint, part in zip(hints, raw, strict=False)
+        ]
+    arguments = typing.get_args(schema)
+    if typing.get_origin(schema) is tuple and _is_named_tuple(arguments[0]):
+        return [drop_unknown_fields(arguments[0], part) for part in raw]
+    return raw
+
+
 @functools.cache
 def _field_types(schema: Any) -> dict[str, Any]:
     return typing.get_type_hints(schema, include_extras=True)
--- a/celeryturn/watcher.py
+++ b/celeryturn/watcher.py
@@ -32,7 +32,9 @@
 
     :param instance: The instance.
     """
-    client = StoreClient(instance.settings.configuration)
+    client = StoreClient(
+        instance.settings.configuration, instance.metrics.traffic.store_calls
+    )
     revision = 0
     backoff_seconds = INITIAL_BACKOFF_SECONDS
     while not instance.is_closing:
@@ -56,7 +58,9 @@
 
     :param instance: The instance.
     """
-    client = StoreClient(instance.settings.instances)
+    client = StoreClient(
+        instance.settings.instances, instance.metrics.traffic.store_calls
+    )
     every_seconds = instance.settings.timing.list_every_seconds
     members = instance.membership.members
     while not instance.is_closing:
@@ -74,7 +78,7 @@
     if client.endpoint == endpoint:
         return client
     client.close()
-    return StoreClient(endpoint)
+    return StoreClient(endpoint, client.call_counts)
 
 
 async def _read_list(instance: Instance, client: StoreClient) -> None:
@@ -109,17 +113,21 @@
     sent_seconds = instance.clock()
     changes = await _fetch_changes(instance, client, revision)
     highest = instance.freshness.highest_revision
-    if changes.revision < highest:
-        log(CONFIGURATION_STALE, revision=changes.revision, highest=highest)
+    if changes.position.revision < highest:
+        log(
+            CONFIGURATION_STALE,
+            revision=changes.position.revision,
+            highest=highest,
+        )
         await asyncio.sleep(INITIAL_BACKOFF_SECONDS * (1 + instance.random()))
         return revision
     for change in changes.changes:
         if change.body is not None:
             offer_document(instance, change.body, 'service')
     instance.freshness = record_confirmation(
-        instance.freshness, sent_seconds, changes.revision
+        instance.freshness, sent_seconds, changes.position.revision
     )
-    return changes.revision
+    return changes.position.revision
 
 
 async def _fetch_changes(
