--- /dev/null
+++ b/bench/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""A fleet in one process: real peer code on a simulated clock and network."""
--- a/celeryturn/decisions/fleet/delegates.py
+++ b/celeryturn/decisions/fleet/delegates.py
@@ -14,6 +14,7 @@
 from celeryturn.decisions.fleet.ring import name_hash
 
 DELEGATES_PER_ZONE: Final = 3
+SETTLE_SECONDS: Final = 2.0
 
 
 def delegates_of(members: Iterable[Member], zone: str) -> list[str]:
@@ -64,10 +65,11 @@
 
 
 def linked_delegates(membership: Membership) -> list[str]:
-    """List the delegates of other zones that this instance dials.
+    """List the delegates that this instance dials.
 
     The delegates of two zones are linked in pairs, of which one side dials.
-    Small zones, in which every instance is a delegate, need no such links.
+    Any other instance dials one delegate of its own zone.  Small fleets, in
+    which every instance is a delegate, need no such links.
 
     :param membership: The membership table of this instance.
     :returns: Names of the delegates.
@@ -75,8 +77,11 @@
     own = membership.own
     members = list(membership.members.values())
     own_delegates = delegates_of(members, own.availability_zone)
-    if own.instance not in own_delegates or not has_other_instances(membership):
+    if not own_delegates or not has_other_instances(membership):
         return []
+    if own.instance not in own_delegates:
+        number = name_hash(own.instance) % len(own_delegates)
+        return [own_delegates[number]]
     position = own_delegates.index(own.instance)
     dialled_zones = {
         member.availability_zone
@@ -87,6 +92,30 @@
     return [names[position] for names in chosen if position < len(names)]
 
 
+def settle(
+    since_seconds: dict[str, float], names: Iterable[str], now_seconds: float
+) -> list[str]:
+    """Select the names that have been chosen for some time.
+
+    While many instances start, the delegates change with each that is heard.
+
+    :param since_seconds: Time since which each name has been chosen, which is
+        updated.
+    :param names: Names that are chosen now.
+    :param now_seconds: Current time.
+    :returns: Those that have been chosen for :data:`SETTLE_SECONDS`.
+    """
+    chosen = list(names)
+    for former in since_seconds.keys() - chosen:
+        since_seconds.pop(former)
+    for added in chosen:
+        since_seconds.setdefault(added, now_seconds)
+    settled_since_seconds = now_seconds - SETTLE_SECONDS
+    return [
+        name for name in chosen if since_seconds[name] <= settled_since_seconds
+    ]
+
+
 def _live_counts(membership: Membership) -> Counter[str]:
     return Counter(
         member.availability_zone
--- a/celeryturn/decisions/fleet/dissemination.py
+++ b/celeryturn/decisions/fleet/dissemination.py
@@ -1,29 +1,41 @@
 """What instances tell each other about the members of the fleet.
 
-Both ends of a new link compare digests of their tables and exchange only the
-entries that may differ.  Later changes are told in batches, without those that
-the peer has told itself meanwhile.  Many instances that start at once thus
-cost each of them little more than one copy of the table.
+Both ends of a new link compare digests of their tables, then hashes of the
+entries in the buckets that differ, and exchange only the entries that differ.
+Later changes are told in batches, without those that the peer has told itself
+meanwhile.  Many instances that start at once thus cost each of them little
+more than one copy of the table.
 """
 
-from collections.abc import Iterable
-from typing import Final
-
-import xxhash
+from collections.abc import Iterable, Iterator
+from typing import Final, NamedTuple
 
 from celeryturn.decisions.fleet.membership import (
     Member,
     Membership,
-    next_on_ring,
     supersedes,
 )
+from celeryturn.decisions.fleet.neighbours import next_on_ring
 from celeryturn.decisions.fleet.ring import name_hash
 
 BUCKET_COUNT: Final = 32
-BUCKET_BYTES: Final = 4
+HASH_BYTES: Final = 4
+HASH_BITS: Final = 8 * HASH_BYTES
 MIN_NEWS_INTERVAL_SECONDS: Final = 0.2
 INTRODUCED_COUNT: Final = 6
-_BUCKET_MASK: Final = 2 ** (8 * BUCKET_BYTES) - 1
+_HASH_MASK: Final = 2**HASH_BITS - 1
+
+
+class Comparison(NamedTuple):
+    """How a table differs from that of a peer.
+
+    :param told: Entries that the peer lacks or has in another version.
+    :param missing_name_hashes: Hashes of the names of the entries that it has
+        and this instance lacks, or has in another version.
+    """
+
+    told: tuple[Member, ...]
+    missing_name_hashes: bytes
 
 
 class News:
@@ -98,30 +110,61 @@
     """
     buckets = dict.fromkeys(range(BUCKET_COUNT), 0)
     for member in members:
-        entry_hash = xxhash.xxh3_64_intdigest(
-            f'{member.instance} {member.incarnation} {member.status}'.encode()
-        )
-        buckets[_bucket(member)] ^= entry_hash & _BUCKET_MASK
+        buckets[_bucket(member)] ^= _version_hash(member)
     return b''.join(
-        bucket.to_bytes(BUCKET_BYTES, 'big') for bucket in buckets.values()
+        bucket.to_bytes(HASH_BYTES, 'big') for bucket in buckets.values()
     )
 
 
-def differing_members(
-    members: Iterable[Member], peer_digest: bytes
-) -> tuple[Member, ...]:
-    """List the entries that a peer may lack.
+def summarize_differing(members: Iterable[Member], peer_digest: bytes) -> bytes:
+    """Summarize the entries of all buckets that differ.
 
     :param members: All entries of the table.
     :param peer_digest: Digest of the table of the peer.
-    :returns: The entries of all buckets that differ.
+    :returns: The hashes of the name and of the version of each entry.
     """
-    known = tuple(members)
-    own_digest = digest_members(known)
+    return b''.join(
+        _pack(member) for member in _differing(members, peer_digest)
+    )
+
+
+def compare_summary(
+    members: Iterable[Member], peer_digest: bytes, summary: bytes
+) -> Comparison:
+    """Compare a table with the summary of a peer.
+
+    :param members: All entries of the table.
+    :param peer_digest: Digest of the table of the peer.
+    :param summary: Summary of the entries that the peer has in the buckets
+        that differ.
+    :returns: What to tell the peer, and what to request.
+    """
+    peer_entries = _unpack(summary)
+    own_entries = {
+        _pack(member): member for member in _differing(members, peer_digest)
+    }
+    told = [own_entries[key] for key in own_entries.keys() - peer_entries]
+    missing = peer_entries - own_entries.keys()
+    return Comparison(
+        tuple(told), b''.join(entry[:HASH_BYTES] for entry in missing)
+    )
+
+
+def requested_members(
+    members: Iterable[Member], name_hashes: bytes
+) -> tuple[Member, ...]:
+    """List the entries that a peer requests.
+
+    :param members: All entries of the table.
+    :param name_hashes: Hashes of the names of the instances.
+    :returns: The entries that are known.
+    """
+    requested = {
+        name_hashes[start : start + HASH_BYTES]
+        for start in range(0, len(name_hashes), HASH_BYTES)
+    }
     return tuple(
-        member
-        for member in known
-        if _bucket_hash(own_digest, member) != _bucket_hash(peer_digest, member)
+        member for member in members if _pack(member)[:HASH_BYTES] in requested
     )
 
 
@@ -139,10 +182,52 @@
     return (membership.own, *nearest)
 
 
+def knows_zone_of(membership: Membership, joining: Member) -> bool:
+    """Return whether this instance knows enough to introduce another one.
+
+    :param membership: The membership table of this instance.
+    :param joining: Entry of the instance that joins.
+    :returns: Whether it knows :data:`INTRODUCED_COUNT` others of its zone.
+    """
+    in_zone = [
+        member
+        for member in membership.members.values()
+        if member.availability_zone == joining.availability_zone
+        and member.instance != joining.instance
+    ]
+    return len(in_zone) >= INTRODUCED_COUNT
+
+
+def _differing(
+    members: Iterable[Member], peer_digest: bytes
+) -> Iterator[Member]:
+    known = tuple(members)
+    own_digest = digest_members(known)
+    for member in known:
+        start = _bucket(member) * HASH_BYTES
+        end = start + HASH_BYTES
+        if own_digest[start:end] != peer_digest[start:end]:
+            yield member
+
+
 def _bucket(member: Member) -> int:
     return name_hash(member.instance) % BUCKET_COUNT
 
 
-def _bucket_hash(digest: bytes, member: Member) -> bytes:
-    start = _bucket(member) * BUCKET_BYTES
-    return digest[start : start + BUCKET_BYTES]
+def _pack(member: Member) -> bytes:
+    name_bits = (name_hash(member.instance) >> HASH_BITS) & _HASH_MASK
+    name_bytes = name_bits.to_bytes(HASH_BYTES, 'big')
+    return name_bytes + _version_hash(member).to_bytes(HASH_BYTES, 'big')
+
+
+def _unpack(summary: bytes) -> set[bytes]:
+    entry_bytes = 2 * HASH_BYTES
+    return {
+        summary[start : start + entry_bytes]
+        for start in range(0, len(summary), entry_bytes)
+    }
+
+
+def _version_hash(member: Member) -> int:
+    version = f'{member.instance} {member.incarnation} {member.status}'
+    return name_hash(version) & _HASH_MASK
--- a/celeryturn/decisions/fleet/membership.py
+++ b/celeryturn/decisions/fleet/membership.py
@@ -11,7 +11,6 @@
 from types import MappingProxyType
 from typing import Final, NamedTuple
 
-from celeryturn.decisions.fleet.ring import ring_position
 from celeryturn.units import Count, Port
 
 SUSPECT_AFTER_SECONDS: Final = 3.0
@@ -241,68 +240,6 @@
     return changed
 
 
-def neighbours_of(membership: Membership, count: int) -> list[str]:
-    """Choose the instances to watch.
-
-    They are the next instances on a ring, where those of an availability zone
-    are next to each other.
-
-    :param membership: The membership table.
-    :param count: Maximum number of instances to choose.
-    :returns: Names of instances in ring order, the closest first.
-    """
-    nearest = next_on_ring(membership, membership.own, count)
-    return [member.instance for member in nearest]
-
-
-def next_on_ring(
-    membership: Membership, origin: Member, count: int
-) -> list[Member]:
-    """List the instances that follow another one on the ring.
-
-    :param membership: The membership table.
-    :param origin: The entry of the other instance, which may be unknown.
-    :param count: Maximum number of instances to list.
-    :returns: Entries that are not gone in ring order, without the origin.
-    """
-    origin_position = _position(origin)
-    others = [
-        member
-        for member in membership.members.values()
-        if member.status is not Status.GONE
-        and member.instance != origin.instance
-    ]
-    others.sort(
-        key=lambda member: (
-            _position(member) <= origin_position,
-            _position(member),
-        )
-    )
-    return others[:count]
-
-
-def choose_gone_instance(
-    membership: Membership, random_fraction: float
-) -> list[str]:
-    """Choose one instance marked as gone, to check whether it is back.
-
-    Without this check the two sides of a healed network partition would not
-    find each other again.
-
-    :param membership: The membership table.
-    :param random_fraction: Random number in [0, 1).
-    :returns: A list of one name, or an empty list if none is gone.
-    """
-    gone = sorted(
-        member.instance
-        for member in membership.members.values()
-        if member.status is Status.GONE
-    )
-    if not gone:
-        return []
-    return [gone[int(random_fraction * len(gone)) % len(gone)]]
-
-
 def list_wait_seconds(base_wait_seconds: float, member_count: int) -> float:
     """Compute how long to wait before the list is read again.
 
@@ -412,7 +349,3 @@
     if count >= membership.peak_count or is_hold_over:
         membership.peak_count = count
         membership.peak_seconds = now_seconds
-
-
-def _position(member: Member) -> tuple[str, int]:
-    return ring_position(member.availability_zone, member.instance)
--- a/celeryturn/decisions/targets/entry_history.py
+++ b/celeryturn/decisions/targets/entry_history.py
@@ -11,6 +11,7 @@
 from celeryturn.decisions.store_position import NO_POSITION, StorePosition
 from celeryturn.decisions.targets.directory import Directory, find_replica
 from celeryturn.decisions.targets.replicas import TargetEntry
+from celeryturn.units import Count
 
 MAX_REMOVALS: Final = 1024
 
@@ -23,12 +24,15 @@
         not name have no entry.
     :param entries: Changed entries, or all entries of a whole list.
     :param removed: Targets whose entries were removed.
+    :param table_version: Version of the routes at this position or before;
+        zero if it is not known.
     """
 
     position: StorePosition
     is_whole: bool
     entries: tuple[TargetEntry, ...]
     removed: tuple[str, ...]
+    table_version: Count = 0
 
 
 class EntryHistory:
--- a/celeryturn/forwarding/peer_lists.py
+++ b/celeryturn/forwarding/peer_lists.py
@@ -141,7 +141,11 @@
     position = progress.position
     if position <= since:
         return None
-    return changes_since(progress.history, shared.directory, since, position)
+    update = changes_since(progress.history, shared.directory, since, position)
+    table_version = shared_state.table_version(shared)
+    return update._replace(
+        table_version=max(table_version, progress.min_table_version)
+    )
 
 
 def apply_peer_update(shared: SharedState, update: EntryUpdate) -> None:
@@ -165,7 +169,9 @@
         )
     record_update(progress.history, update)
     _apply_entries(shared, update)
-    progress.may_lack_routes = True
+    progress.min_table_version = max(
+        progress.min_table_version, update.table_version
+    )
     advance(progress, update.position)
     shared_state.report_progress(shared)
 
--- a/celeryturn/forwarding/store_progress.py
+++ b/celeryturn/forwarding/store_progress.py
@@ -18,8 +18,8 @@
         were missed.
     :param may_read_old: Whether a first read may return old values, which a
         watch then brings up to date.
-    :param may_lack_routes: Whether targets were received from peers, so that a
-        change of the routes may have been missed.
+    :param min_table_version: Version of the routes that belongs to what peers
+        have sent; an older version has to be replaced.
     :param relies_on_peers: Whether delegates follow the store for this
         instance.
     :param is_lost: Whether the last call to the store failed.
@@ -45,8 +45,8 @@
         'is_lost',
         'last_contact_seconds',
         'list_request_seconds',
-        'may_lack_routes',
         'may_read_old',
+        'min_table_version',
         'must_read_all',
         'newest_seconds',
         'peer_table_version',
@@ -61,7 +61,7 @@
         self.newest_seconds = started_seconds
         self.must_read_all = True
         self.may_read_old = True
-        self.may_lack_routes = False
+        self.min_table_version = 0
         self.relies_on_peers = False
         self.is_lost = False
         self.is_behind = asyncio.Event()
--- a/celeryturn/forwarding/store_watch.py
+++ b/celeryturn/forwarding/store_watch.py
@@ -153,18 +153,19 @@
     progress = shared.progress
     if progress.must_read_all:
         await _read_all(shared, clients.watcher)
-    else:
-        await _read_missed_routes(shared, clients.watcher)
-        changes = await _watch(shared, clients)
-        _record_response(shared)
-        _apply_watched(shared, changes)
-        if not changes.changes or progress.position < progress.highest_position:
-            return
-    # Changes come in bursts and each call to the store has a cost, so pause
-    # here: the next call then returns several changes.
-    await asyncio.sleep(
-        store_timing.change_pause_seconds(shared.instance.membership)
-    )
+        # Peers become known meanwhile, on which this instance may then rely.
+        await asyncio.sleep(store_timing.FIRST_PAUSE_SECONDS)
+        return
+    await _read_missed_routes(shared, clients.watcher)
+    changes = await _watch(shared, clients)
+    _record_response(shared)
+    _apply_watched(shared, changes)
+    if changes.changes and progress.position >= progress.highest_position:
+        # Changes come in bursts and each call to the store has a cost, so
+        # pause here: the next call then returns several changes.
+        await asyncio.sleep(
+            store_timing.change_pause_seconds(shared.instance.membership)
+        )
 
 
 def _apply_watched(shared: SharedState, changes: Changes) -> None:
@@ -220,10 +221,10 @@
 async def _read_missed_routes(shared: SharedState, client: StoreClient) -> None:
     # Peers send the routes separately, so a change may have been missed.
     progress = shared.progress
-    if progress.may_lack_routes:
+    if shared_state.table_version(shared) < progress.min_table_version:
         timeout_seconds = store_timing.read_timeout_seconds(progress)
         routes = await client.read(TABLE_KEY, timeout_seconds)
-        progress.may_lack_routes = False
+        progress.min_table_version = 0
         offer_routes(shared, routes.changes)
 
 
--- a/celeryturn/peers/dialling.py
+++ b/celeryturn/peers/dialling.py
@@ -7,13 +7,13 @@
 from websockets.asyncio.server import serve
 from websockets.exceptions import WebSocketException
 
-from celeryturn.decisions.fleet import membership
-from celeryturn.decisions.fleet.delegates import linked_delegates
+from celeryturn.decisions.fleet import membership, neighbours
+from celeryturn.decisions.fleet.delegates import linked_delegates, settle
 from celeryturn.decisions.store_position import NO_POSITION
 from celeryturn.instance import current_versions
 from celeryturn.peers import dial_timeouts, messages
 from celeryturn.peers.handlers import build_progress, request_target_list
-from celeryturn.peers.links import PeerLink, enqueue
+from celeryturn.peers.links import LinkPurpose, PeerLink, Socket, enqueue
 from celeryturn.peers.network import Network, broadcast, broadcast_members
 from celeryturn.peers.seeds import is_seed_name, unknown_seed_urls
 from celeryturn.peers.sessions import run_link
@@ -90,17 +90,19 @@
     :param network: The network.
     """
     instance = network.instance
+    known = instance.membership
     count = instance.settings.neighbour_count
-    neighbours = [
-        *membership.neighbours_of(instance.membership, count),
-        *linked_delegates(instance.membership),
-    ]
-    retried = membership.choose_gone_instance(
-        instance.membership, instance.random()
-    )
-    _watch_neighbours(network, set(neighbours))
+    now_seconds = instance.clock()
+    chosen = {
+        *neighbours.neighbours_of(known, count),
+        *settle(network.delegates, linked_delegates(known), now_seconds),
+        *neighbours.choose_gone_instance(known, instance.random()),
+    }
+    network.watched_only = set(neighbours.next_by_name(known)) - chosen
+    dialled = chosen | network.watched_only
+    _watch(network, dialled)
     members = instance.membership.members
-    urls = {name: _url(members[name]) for name in (*neighbours, *retried)}
+    urls = {name: _url(members[name]) for name in dialled}
     urls.update(unknown_seed_urls(network.seeds, members.values()))
     _update_dialled_links(network, urls)
 
@@ -119,13 +121,13 @@
         await network.server.wait_closed()
 
 
-def _watch_neighbours(network: Network, neighbours: set[str]) -> None:
-    # The response timeout of a new neighbour starts now, not at its last
+def _watch(network: Network, names: set[str]) -> None:
+    # The response timeout of another instance starts now, not at its last
     # contact.
     instance = network.instance
-    for name in neighbours - network.watched:
+    for name in names - network.watched:
         membership.record_contact(instance.membership, name, instance.clock())
-    network.watched = neighbours
+    network.watched = names
 
 
 def _ping_neighbours(network: Network) -> None:
@@ -134,7 +136,7 @@
     instance = network.instance
     ping = messages.Ping(instance.clock(), build_progress(instance))
     for link in network.links:
-        if link.is_dialled:
+        if link.purpose is not LinkPurpose.ACCEPTED:
             enqueue(link, ping)
 
 
@@ -192,9 +194,25 @@
         close_timeout=1,
         proxy=None,
     ) as socket:
-        await run_link(
-            network, PeerLink(socket, name, is_seed=is_seed_name(name))
-        )
+        await run_dialled(network, name, socket)
+
+
+async def run_dialled(network: Network, name: str, socket: Socket) -> None:
+    """Exchange messages on a link that this instance dialled until it ends.
+
+    :param network: The network.
+    :param name: Name of the peer, or temporary name of a seed.
+    :param socket: The websocket.
+    """
+    await run_link(network, PeerLink(socket, name, _purpose(network, name)))
+
+
+def _purpose(network: Network, name: str) -> LinkPurpose:
+    if is_seed_name(name):
+        return LinkPurpose.JOIN
+    if name in network.watched_only:
+        return LinkPurpose.WATCH
+    return LinkPurpose.NEIGHBOUR
 
 
 def _url(member: membership.Member) -> str:
--- a/celeryturn/peers/links.py
+++ b/celeryturn/peers/links.py
@@ -1,6 +1,7 @@
 """A link to another instance and its queue of outgoing messages."""
 
 import asyncio
+import enum
 from collections.abc import Callable, Iterable
 from typing import Final, TypeAlias
 
@@ -23,16 +24,34 @@
 MAX_QUEUED_MESSAGES: Final = 1024
 
 
+class LinkPurpose(enum.Enum):
+    """Why a link was opened.
+
+    - ``ACCEPTED``: the peer opened it.
+    - ``NEIGHBOUR``: to exchange what is new.
+    - ``JOIN``: to learn of the first peers from a seed.
+    - ``WATCH``: to notice that the peer does not respond.
+    """
+
+    ACCEPTED = 'accepted'
+    NEIGHBOUR = 'neighbour'
+    JOIN = 'join'
+    WATCH = 'watch'
+
+
+_NEIGHBOUR_PURPOSES: Final = frozenset(
+    (LinkPurpose.ACCEPTED, LinkPurpose.NEIGHBOUR)
+)
+
+
 class PeerLink:
     """A websocket link to a peer.
 
     :param socket: The websocket.
     :param instance: Name of the peer; on an accepted link empty until the
         peer has sent its hello.
-    :param is_dialled: Whether this instance opened the link and therefore
-        sends the pings on it.
-    :param is_neighbour: Whether membership is exchanged; not on a link through
-        which an instance joins.
+    :param purpose: Why the link was opened; the side that did sends the pings.
+    :param is_neighbour: Whether what is new is told on the link.
     :param queue: Messages to send, oldest first.
     :param news: Changed membership entries to send.
     :param flush_timer: Sends them when they are due.
@@ -41,19 +60,22 @@
     __slots__ = (
         'flush_timer',
         'instance',
-        'is_dialled',
         'is_neighbour',
         'news',
+        'purpose',
         'queue',
         'socket',
     )
 
     def __init__(
-        self, socket: Socket, instance: str = '', *, is_seed: bool = False
+        self,
+        socket: Socket,
+        instance: str = '',
+        purpose: LinkPurpose = LinkPurpose.ACCEPTED,
     ) -> None:
         self.socket = socket
-        self.is_neighbour = not is_seed
-        self.is_dialled = bool(instance)
+        self.purpose = purpose
+        self.is_neighbour = purpose in _NEIGHBOUR_PURPOSES
         self.instance = instance
         self.queue: asyncio.Queue[messages.Message] = asyncio.Queue(
             MAX_QUEUED_MESSAGES
--- a/celeryturn/peers/messages.py
+++ b/celeryturn/peers/messages.py
@@ -35,9 +35,12 @@
     """First message on a link.
 
     :param instance: Name of the sender.
+    :param is_neighbour: Whether the link serves to exchange what is new, and
+        not only to join or to watch the peer.
     """
 
     instance: Name
+    is_neighbour: bool = True
 
 
 class Join(NamedTuple):
@@ -53,11 +56,29 @@
     """Digest of the sender's membership table: first on a link of neighbours.
 
     :param buckets: Hashes of the entries of each bucket.
-    :param is_reply: Whether it answers a digest that differs.
     """
 
     buckets: bytes
-    is_reply: bool = False
+
+
+class Summary(NamedTuple):
+    """The reply to a digest that differs.
+
+    :param buckets: Digest of the sender's membership table.
+    :param entries: Hashes of the entries in the buckets that differ.
+    """
+
+    buckets: bytes
+    entries: bytes
+
+
+class EntryRequest(NamedTuple):
+    """A request for membership entries.
+
+    :param name_hashes: Hashes of the names of the instances.
+    """
+
+    name_hashes: bytes
 
 
 class Progress(NamedTuple):
@@ -198,6 +219,8 @@
     Hello
     | Join
     | Digest
+    | Summary
+    | EntryRequest
     | Announcement
     | Ping
     | Pong
@@ -230,6 +253,8 @@
         13: TargetListRequest,
         14: TargetList,
         15: LeavingTargets,
+        16: Summary,
+        17: EntryRequest,
     }
 )
 _CODES_BY_TYPE: Final[Mapping[type[Message], int]] = MappingProxyType(
--- a/celeryturn/peers/network.py
+++ b/celeryturn/peers/network.py
@@ -25,7 +25,10 @@
     :param links: Open links, dialled and accepted.
     :param dialling: Tasks of dialled links by peer name; a seed whose name
         is not known yet is listed by its address.
-    :param watched: Neighbours that become suspect if they do not respond.
+    :param watched: Instances that become suspect if they do not respond.
+    :param watched_only: Those of them with which nothing else is exchanged.
+    :param delegates: Time from which each delegate of another zone is to be
+        linked.
     :param first_contact: Set once a peer has reported its versions.
     :param peer_versions: Newest version of each service that any peer has
         reported.
@@ -41,6 +44,7 @@
     __slots__ = (
         'announced_seconds',
         'announcement_timer',
+        'delegates',
         'dial_timeouts',
         'dialling',
         'first_contact',
@@ -50,6 +54,7 @@
         'seeds',
         'server',
         'watched',
+        'watched_only',
     )
 
     def __init__(self, instance: Instance) -> None:
@@ -57,6 +62,8 @@
         self.links: set[PeerLink] = set()
         self.dialling: dict[str, asyncio.Task[None]] = {}
         self.watched: set[str] = set()
+        self.watched_only: set[str] = set()
+        self.delegates: dict[str, float] = {}
         self.first_contact = asyncio.Event()
         self.peer_versions: dict[str, int] = {}
         self.server: Server | None = None
@@ -74,14 +81,14 @@
     message: messages.Message,
     excluded_link: PeerLink | None = None,
 ) -> None:
-    """Queue a message on every link.
+    """Queue a message on every link of neighbours.
 
     :param network: The network.
     :param message: The message.
     :param excluded_link: A link on which the message is not sent, if any.
     """
     for link in network.links:
-        if link is not excluded_link:
+        if link is not excluded_link and link.is_neighbour:
             enqueue(link, message)
 
 
--- a/celeryturn/peers/sessions.py
+++ b/celeryturn/peers/sessions.py
@@ -3,29 +3,40 @@
 import asyncio
 import functools
 from collections.abc import Iterable
+from typing import Final
 
 from websockets.exceptions import WebSocketException
 
 from celeryturn.decisions.fleet import membership
 from celeryturn.decisions.fleet.dissemination import (
-    differing_members,
+    compare_summary,
     digest_members,
     discard_known,
     introduce,
+    knows_zone_of,
+    requested_members,
+    summarize_differing,
 )
 from celeryturn.errors import CeleryturnError
 from celeryturn.events import PEER_REFUSED, log
 from celeryturn.instance import (
     MAX_SERVICE_COUNT,
-    Instance,
     current_versions,
 )
 from celeryturn.peers import messages
 from celeryturn.peers.handlers import build_progress, handle_message
-from celeryturn.peers.links import PeerLink, enqueue, send_queued, tell_news
+from celeryturn.peers.links import (
+    LinkPurpose,
+    PeerLink,
+    enqueue,
+    send_queued,
+    tell_news,
+)
 from celeryturn.peers.network import Network, broadcast, broadcast_members
 from celeryturn.traffic import count_peer_message
 
+INTRODUCTION_DELAY_SECONDS: Final = 0.4
+
 
 async def run_link(network: Network, link: PeerLink) -> None:
     """Exchange messages on a link until it ends.
@@ -57,12 +68,13 @@
 def _greet(network: Network, link: PeerLink) -> None:
     # The side that dialled states which entries it lacks, or asks to join.
     instance = network.instance
-    enqueue(link, messages.Hello(instance.settings.instance))
-    if link.is_dialled:
-        if link.is_neighbour:
-            enqueue(link, messages.Digest(_own_digest(instance)))
-        else:
-            enqueue(link, messages.Join(instance.membership.own))
+    hello = messages.Hello(instance.settings.instance, link.is_neighbour)
+    enqueue(link, hello)
+    if link.purpose is LinkPurpose.NEIGHBOUR:
+        known = instance.membership.members.values()
+        enqueue(link, messages.Digest(digest_members(known)))
+    elif link.purpose is LinkPurpose.JOIN:
+        enqueue(link, messages.Join(instance.membership.own))
     enqueue(link, messages.Versions(current_versions(instance)))
     if instance.routes.version():
         enqueue(link, messages.Announcement(build_progress(instance)))
@@ -71,10 +83,6 @@
         enqueue(link, messages.LeavingTargets(leaving))
 
 
-def _own_digest(instance: Instance) -> bytes:
-    return digest_members(instance.membership.members.values())
-
-
 def _count_sent(
     network: Network, link: PeerLink, message: messages.Message, size_bytes: int
 ) -> None:
@@ -105,31 +113,57 @@
     instance = network.instance
     if isinstance(message, messages.Hello):
         link.instance = message.instance
+        link.is_neighbour = link.is_neighbour and message.is_neighbour
     if isinstance(message, messages.Versions):
         _record_versions(network, message)
     if link.instance:
         membership.record_contact(
             instance.membership, link.instance, instance.clock()
         )
+    if _handle_membership(network, link, message):
+        return
+    if isinstance(message, messages.LeavingTargets):
+        _merge_leaving_targets(network, link, message)
+        return
+    for reply in handle_message(instance, message):
+        enqueue(link, reply)
+
+
+def _handle_membership(
+    network: Network, link: PeerLink, message: messages.Message
+) -> bool:
     match message:
         case messages.Join(member):
             _introduce(network, link, member)
         case messages.Digest():
             _reply_to_digest(network, link, message)
+        case messages.Summary():
+            _reply_to_summary(network, link, message)
+        case messages.EntryRequest():
+            _reply_to_entry_request(network, link, message)
         case messages.Members(offered):
             _merge_members(network, link, offered)
-        case messages.LeavingTargets():
-            _merge_leaving_targets(network, link, message)
         case _:
-            for reply in handle_message(instance, message):
-                enqueue(link, reply)
+            return False
+    return True
 
 
 def _introduce(
     network: Network, link: PeerLink, joining: membership.Member
 ) -> None:
-    link.is_neighbour = False
     _merge_members(network, link, (joining,))
+    if knows_zone_of(network.instance.membership, joining):
+        _send_introduction(network, link, joining)
+        return
+    # When all instances start at once, most are not known yet.
+    asyncio.get_running_loop().call_later(
+        INTRODUCTION_DELAY_SECONDS, _send_introduction, network, link, joining
+    )
+
+
+def _send_introduction(
+    network: Network, link: PeerLink, joining: membership.Member
+) -> None:
     introduced = introduce(network.instance.membership, joining)
     enqueue(link, messages.Members(introduced))
 
@@ -139,13 +173,29 @@
 ) -> None:
     known = network.instance.membership.members.values()
     own_digest = digest_members(known)
-    if own_digest == digest.buckets:
-        return
-    if not digest.is_reply:
-        enqueue(link, messages.Digest(own_digest, is_reply=True))
-    differing = differing_members(known, digest.buckets)
-    if differing:
-        enqueue(link, messages.Members(differing))
+    if own_digest != digest.buckets:
+        entries = summarize_differing(known, digest.buckets)
+        enqueue(link, messages.Summary(own_digest, entries))
+
+
+def _reply_to_summary(
+    network: Network, link: PeerLink, summary: messages.Summary
+) -> None:
+    known = network.instance.membership.members.values()
+    compared = compare_summary(known, summary.buckets, summary.entries)
+    if compared.told:
+        enqueue(link, messages.Members(compared.told))
+    if compared.missing_name_hashes:
+        enqueue(link, messages.EntryRequest(compared.missing_name_hashes))
+
+
+def _reply_to_entry_request(
+    network: Network, link: PeerLink, request: messages.EntryRequest
+) -> None:
+    known = network.instance.membership.members.values()
+    requested = requested_members(known, request.name_hashes)
+    if requested:
+        enqueue(link, messages.Members(requested))
 
 
 def _record_versions(network: Network, message: messages.Versions) -> None:
--- a/tests/steps/decoders.py
+++ b/tests/steps/decoders.py
@@ -256,7 +256,12 @@
     any_message = st.one_of(
         st.builds(messages.Ping, st.floats(-1e12, 1e12), progress),
         st.builds(messages.Announcement, progress),
-        st.builds(messages.Digest, st.binary(max_size=50), st.booleans()),
+        st.builds(messages.Digest, st.binary(max_size=50)),
+        st.builds(messages.Hello, st.just('i'), st.booleans()),
+        st.builds(
+            messages.Summary, st.binary(max_size=50), st.binary(max_size=50)
+        ),
+        st.builds(messages.EntryRequest, st.binary(max_size=50)),
         st.builds(messages.Join, members),
         st.builds(messages.TableRequest, counts),
         st.builds(messages.Table, st.binary(max_size=50)),
--- a/tests/steps/members.py
+++ b/tests/steps/members.py
@@ -11,7 +11,7 @@
     record_confirmation,
     record_peer_confirmation,
 )
-from celeryturn.decisions.fleet import membership
+from celeryturn.decisions.fleet import membership, neighbours
 from celeryturn.decisions.fleet.advice import advise
 from celeryturn.decisions.fleet.membership import Member, Status
 from tests.support.documents import ZONES
@@ -194,7 +194,7 @@
     watched = Counter(
         name
         for known in context.all
-        for name in membership.neighbours_of(known, count)
+        for name in neighbours.neighbours_of(known, count)
     )
     assert set(watched.values()) == {count}, watched
     assert len(watched) == len(context.all)
