--- a/celeryturn/events.py
+++ b/celeryturn/events.py
@@ -78,6 +78,11 @@
 PEER_REFUSED: Final = Event(
     301, 'peer_refused', 'A message from a peer was rejected.'
 )
+MEMBERS_CHANGED: Final = Event(
+    302,
+    'members_changed',
+    'The known state of many instances changed at once.',
+)
 REFUSED: Final = Event(400, 'refused', 'A request was refused.')
 BOOKING_ENDED: Final = Event(401, 'booking_ended', 'A booking has an outcome.')
 FORWARDED_BADLY: Final = Event(
@@ -129,6 +134,7 @@
     STORE_RESTORED,
     MEMBER_CHANGED,
     PEER_REFUSED,
+    MEMBERS_CHANGED,
     REFUSED,
     BOOKING_ENDED,
     FORWARDED_BADLY,
--- a/celeryturn/forwarding/store_timing.py
+++ b/celeryturn/forwarding/store_timing.py
@@ -20,6 +20,8 @@
 # An instance without a list of targets cannot serve callers until the store
 # responds, so it retries sooner.
 UNINITIALIZED_RETRY_SHARE: Final = 0.25
+# Delegates notice the return of the store, and tell it.
+RELYING_RETRY_FACTOR: Final = 2.5
 FIRST_READ_TIMEOUT_SECONDS: Final = 0.4
 MAX_READ_TIMEOUT_SECONDS: Final = 1.5
 READ_GROWTH_FACTOR: Final = 2.0
@@ -91,12 +93,11 @@
     """
     spread_seconds = MAX_RETRY_DELAY_SECONDS - MIN_RETRY_DELAY_SECONDS
     delay_seconds = MIN_RETRY_DELAY_SECONDS + spread_seconds * random_fraction
-    is_uninitialized = not progress.position.revision
-    return (
-        delay_seconds * UNINITIALIZED_RETRY_SHARE
-        if is_uninitialized
-        else delay_seconds
-    )
+    if not progress.position.revision:
+        return delay_seconds * UNINITIALIZED_RETRY_SHARE
+    if progress.relies_on_peers:
+        return delay_seconds * RELYING_RETRY_FACTOR
+    return delay_seconds
 
 
 def reread_delay_seconds(instance_count: int, random_fraction: float) -> float:
--- a/celeryturn/instance.py
+++ b/celeryturn/instance.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
@@ -17,12 +18,19 @@
 from celeryturn.decisions.targets.departures import TargetIncarnation
 from celeryturn.decisions.targets.entry_history import EntryUpdate
 from celeryturn.errors import CeleryturnError, Kind
-from celeryturn.events import ADOPTED, MEMBER_CHANGED, NOT_ADOPTED, log
+from celeryturn.events import (
+    ADOPTED,
+    MEMBER_CHANGED,
+    MEMBERS_CHANGED,
+    NOT_ADOPTED,
+    log,
+)
 from celeryturn.metrics import Metrics
 from celeryturn.settings import Settings
 
 OnAdopted = Callable[[PublishedDocument], None]
 MAX_SERVICE_COUNT: Final = 256
+MAX_LOGGED_MEMBERS: Final = 8
 
 
 class Routes(NamedTuple):
@@ -224,8 +232,13 @@
 def log_member_changes(changed: list[membership.Member]) -> None:
     """Log changes in the known state of instances.
 
-    :param changed: Entries that changed.
+    :param changed: Entries that changed; more than
+        :data:`MAX_LOGGED_MEMBERS` are logged as their number by status.
     """
+    if len(changed) > MAX_LOGGED_MEMBERS:
+        counts = Counter(str(member.status) for member in changed)
+        log(MEMBERS_CHANGED, counts=dict(counts))
+        return
     for member in changed:
         log(
             MEMBER_CHANGED,
--- a/tests/forwarding/store_positions.feature
+++ b/tests/forwarding/store_positions.feature
@@ -95,3 +95,7 @@
     Given the entries "a b"
     When the change that removes "a" at revision 5 arrives after a peer's list of revision 9
     Then "a" is still listed
+
+  Scenario: An instance that relies on delegates asks an absent store less often
+    Then an instance that relies on peers retries a lost store every 0.75 s to 2.25 s
+    And one that has no targets yet retries it every 0.075 s to 0.225 s
--- a/tests/steps/dissemination.py
+++ b/tests/steps/dissemination.py
@@ -180,7 +180,8 @@
 
 
 @then(
-    'of the {count:d} neighbours of each at most 1 in {share:d} is in another zone'
+    'of the {count:d} neighbours of each at most 1 in {share:d} is in another'
+    ' zone'
 )
 def expect_zone_neighbours(context: Context, count: int, share: int) -> None:
     """Count neighbours in other zones."""
@@ -278,9 +279,10 @@
         if not delegates.is_delegate(known)
     ]
     assert [own for own, _ in within] == others
+    zones = {member.availability_zone for member in context.fleet}
     names = {
         name
-        for zone in {member.availability_zone for member in context.fleet}
+        for zone in zones
         for name in delegates.delegates_of(context.fleet, zone)
     }
     assert {other.instance for _, other in within} <= names
--- a/tests/steps/store_positions.py
+++ b/tests/steps/store_positions.py
@@ -10,9 +10,15 @@
 
 from celeryturn.decisions.store_position import StorePosition
 from celeryturn.decisions.targets import directory
-from celeryturn.forwarding import peer_lists, store_changes, store_watch
+from celeryturn.forwarding import (
+    peer_lists,
+    store_changes,
+    store_timing,
+    store_watch,
+)
 from celeryturn.forwarding.app import ForwardingApplication
 from celeryturn.forwarding.shared_state import SharedState, table_version
+from celeryturn.forwarding.store_progress import StoreProgress
 from celeryturn.platform.store import Change, Changes
 from tests.support.routed import SERVICE, get_world, plain_route, run
 
@@ -253,3 +259,31 @@
     watch.cancel()
     await asyncio.gather(watch, return_exceptions=True)
     return world.store.call_counts.copy()
+
+
+@then(
+    'an instance that relies on peers retries a lost store every {least:g} s to'
+    ' {most:g} s'
+)
+def expect_relying_retry(context: Context, least: float, most: float) -> None:
+    """Check the delays at the ends of the random range."""
+    progress = StoreProgress()
+    progress.position = StorePosition(0, 1)
+    progress.relies_on_peers = True
+    _expect_delays(progress, least, most)
+
+
+@then('one that has no targets yet retries it every {least:g} s to {most:g} s')
+def expect_first_retry(context: Context, least: float, most: float) -> None:
+    """Check that an instance that cannot serve yet is not slowed down."""
+    progress = StoreProgress()
+    progress.relies_on_peers = True
+    _expect_delays(progress, least, most)
+
+
+def _expect_delays(progress: StoreProgress, least: float, most: float) -> None:
+    delays = [
+        round(store_timing.retry_delay_seconds(progress, fraction), 6)
+        for fraction in (0, 1)
+    ]
+    assert delays == [least, most], delays
