--- a/celeryturn/decisions/fleet/advice.py
+++ b/celeryturn/decisions/fleet/advice.py
@@ -1,8 +1,7 @@
 """Advice to callers: which instances to use, and for how long."""
 
 import itertools
-from collections import Counter
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable
 from typing import Final, NamedTuple
 
 import xxhash
@@ -14,7 +13,6 @@
 ADVISED_ZONE_COUNT: Final = 64
 LARGE_SHARE: Final = 0.5
 MIN_LARGE_COUNT: Final = 2
-NEAR_SHARE: Final = 0.5
 
 
 class Advice(NamedTuple):
@@ -96,51 +94,20 @@
     return large if len(large) >= MIN_LARGE_COUNT else members
 
 
-def advise_zone(
-    members: Iterable[Member], zone: str, near_targets: Collection[str]
-) -> list[Member]:
+def advise_zone(members: Iterable[Member], zone: str) -> list[Member]:
     """Choose the instances for callers of an availability zone.
 
-    A request needs a reply of every shard, while its caller waits for a single
-    answer.  Callers of a zone without targets are therefore advised of the
-    instances in the zones that have them.
-
     :param members: Known entries of the instances.
     :param zone: Availability zone of the callers; may be unknown.
-    :param near_targets: Availability zones whose instances have targets
-        nearby; may be empty if that is not known.
     :returns: Up to :data:`ADVISED_ZONE_COUNT` instances: the preferred live
-        ones of the zone or of the zones with targets, else of all zones, else
-        the suspects.
+        ones of the zone, else of all zones, else the suspects.
     """
     known = list(members)
     alive = [member for member in known if member.status is Status.ALIVE]
-    zones = (
-        near_targets if near_targets and zone not in near_targets else {zone}
-    )
-    chosen = [member for member in alive if member.availability_zone in zones]
-    if not chosen:
-        chosen = [
-            member for member in alive if member.availability_zone == zone
-        ]
-    if chosen or alive:
-        return preferred_members(chosen or alive)[:ADVISED_ZONE_COUNT]
+    in_zone = [member for member in alive if member.availability_zone == zone]
+    if in_zone:
+        return preferred_members(in_zone)[:ADVISED_ZONE_COUNT]
+    if alive:
+        return preferred_members(alive)[:ADVISED_ZONE_COUNT]
     suspects = [member for member in known if member.status is Status.SUSPECT]
     return suspects[:ADVISED_ZONE_COUNT]
-
-
-def zones_near_targets(
-    zones_by_service: Iterable[Collection[str]],
-) -> frozenset[str]:
-    """Determine the availability zones that have targets of most services.
-
-    :param zones_by_service: Availability zones that have targets, of each
-        service.
-    :returns: Zones with at least :data:`NEAR_SHARE` of the services of the
-        zone that has most.
-    """
-    counts = Counter(itertools.chain.from_iterable(zones_by_service))
-    min_count = NEAR_SHARE * max(counts.values(), default=0)
-    return frozenset(
-        zone for zone, count in counts.items() if count >= min_count
-    )
--- a/celeryturn/decisions/targets/directory.py
+++ b/celeryturn/decisions/targets/directory.py
@@ -1,6 +1,6 @@
 """Known targets, from a list that may be stale, incomplete or wrong."""
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from celeryturn.decisions.targets.departures import (
@@ -205,16 +205,6 @@
     ]
 
 
-def zones_by_service(directory: Directory) -> Iterator[set[str]]:
-    """List where the targets of each service are.
-
-    :param directory: Known targets.
-    :returns: The availability zones of the targets of each service.
-    """
-    for known in directory.replicas.values():
-        yield {replica.entry.zone for replica in known.values()}
-
-
 def accepts_requests(directory: Directory, target: str) -> bool:
     """Return whether a target accepts requests.
 
--- a/celeryturn/forwarding/advice.py
+++ b/celeryturn/forwarding/advice.py
@@ -2,11 +2,7 @@
 
 from typing import Final
 
-from celeryturn.decisions.fleet.advice import (
-    advise_zone,
-    zones_near_targets,
-)
-from celeryturn.decisions.targets.directory import zones_by_service
+from celeryturn.decisions.fleet.advice import advise_zone
 from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.forwarding.shared_state import SharedState
 from celeryturn.http.messages import HttpReply, HttpRequest
@@ -32,11 +28,7 @@
     instance = shared.instance
     if not instance.is_ready:
         raise CeleryturnError(Kind.NOT_CONFIGURED, 'peers are not known yet')
-    members = advise_zone(
-        instance.membership.members.values(),
-        zone,
-        zones_near_targets(zones_by_service(shared.directory)),
-    )
+    members = advise_zone(instance.membership.members.values(), zone)
     addresses = [
         f'{member.address}:{member.callers_port}' for member in members
     ]
--- a/celeryturn/peers/dialling.py
+++ b/celeryturn/peers/dialling.py
@@ -15,7 +15,7 @@
 from celeryturn.peers.handlers import build_progress, request_target_list
 from celeryturn.peers.links import LinkPurpose, PeerLink, Socket, enqueue
 from celeryturn.peers.network import Network, broadcast, broadcast_members
-from celeryturn.peers.seeds import is_seed_name, unknown_seed_urls
+from celeryturn.peers.seeds import unknown_seed_urls
 from celeryturn.peers.sessions import run_link
 
 FAST_RETRY_SECONDS: Final = 0.1
@@ -98,13 +98,15 @@
         *settle(network.delegates, linked_delegates(known), now_seconds),
         *neighbours.choose_gone_instance(known, instance.random()),
     }
-    network.watched_only = set(neighbours.next_by_name(known)) - chosen
-    dialled = chosen | network.watched_only
-    _watch(network, dialled)
-    members = instance.membership.members
-    urls = {name: _url(members[name]) for name in dialled}
-    urls.update(unknown_seed_urls(network.seeds, members.values()))
-    _update_dialled_links(network, urls)
+    purposes = dict.fromkeys(neighbours.next_by_name(known), LinkPurpose.WATCH)
+    purposes.update(dict.fromkeys(chosen, LinkPurpose.NEIGHBOUR))
+    _watch(network, set(purposes))
+    members = known.members
+    urls = {name: _url(members[name]) for name in purposes}
+    seed_urls = unknown_seed_urls(network.seeds, members.values())
+    urls.update(seed_urls)
+    purposes.update(dict.fromkeys(seed_urls, LinkPurpose.JOIN))
+    _update_dialled_links(network, urls, purposes)
 
 
 async def close_network(network: Network) -> None:
@@ -154,14 +156,21 @@
         enqueue(link, request)
 
 
-def _update_dialled_links(network: Network, urls: dict[str, str]) -> None:
+def _update_dialled_links(
+    network: Network,
+    urls: dict[str, str],
+    purposes: dict[str, LinkPurpose],
+) -> None:
     for name, url in urls.items():
         if name not in network.dialling:
+            network.purposes[name] = purposes[name]
             dial = _dial(network, name, url)
             task = asyncio.get_running_loop().create_task(dial)
             network.dialling[name] = task
-    for obsolete in network.dialling.keys() - urls.keys():
-        network.dialling[obsolete].cancel()
+    for dialled, open_task in network.dialling.items():
+        # A link whose purpose has changed is opened anew in the next round.
+        if purposes.get(dialled) is not network.purposes[dialled]:
+            open_task.cancel()
 
 
 async def _dial(network: Network, name: str, url: str) -> None:
@@ -176,6 +185,7 @@
         await asyncio.sleep(max_delay_seconds * network.instance.random())
     finally:
         network.dialling.pop(name, None)
+        network.purposes.pop(name, None)
 
 
 def _open_timeout_seconds(network: Network, name: str) -> float:
@@ -204,15 +214,7 @@
     :param name: Name of the peer, or temporary name of a seed.
     :param socket: The websocket.
     """
-    await run_link(network, PeerLink(socket, name, _purpose(network, name)))
-
-
-def _purpose(network: Network, name: str) -> LinkPurpose:
-    if is_seed_name(name):
-        return LinkPurpose.JOIN
-    if name in network.watched_only:
-        return LinkPurpose.WATCH
-    return LinkPurpose.NEIGHBOUR
+    await run_link(network, PeerLink(socket, name, network.purposes[name]))
 
 
 def _url(member: membership.Member) -> str:
--- a/celeryturn/peers/network.py
+++ b/celeryturn/peers/network.py
@@ -10,7 +10,13 @@
 from celeryturn.instance import Instance, log_member_changes
 from celeryturn.peers import dial_timeouts, messages
 from celeryturn.peers.handlers import build_progress
-from celeryturn.peers.links import PeerLink, enqueue, flush_news, tell_news
+from celeryturn.peers.links import (
+    LinkPurpose,
+    PeerLink,
+    enqueue,
+    flush_news,
+    tell_news,
+)
 from celeryturn.settings import Endpoint
 from celeryturn.timer import Timer
 from celeryturn.watcher import update_connection_shares
@@ -26,7 +32,8 @@
     :param dialling: Tasks of dialled links by peer name; a seed whose name
         is not known yet is listed by its address.
     :param watched: Instances that become suspect if they do not respond.
-    :param watched_only: Those of them with which nothing else is exchanged.
+    :param purposes: Purpose of each dialled link, by the name used in
+        ``dialling``.
     :param delegates: Time from which each delegate of another zone is to be
         linked.
     :param first_contact: Set once a peer has reported its versions.
@@ -51,10 +58,10 @@
         'instance',
         'links',
         'peer_versions',
+        'purposes',
         'seeds',
         'server',
         'watched',
-        'watched_only',
     )
 
     def __init__(self, instance: Instance) -> None:
@@ -62,7 +69,7 @@
         self.links: set[PeerLink] = set()
         self.dialling: dict[str, asyncio.Task[None]] = {}
         self.watched: set[str] = set()
-        self.watched_only: set[str] = set()
+        self.purposes: dict[str, LinkPurpose] = {}
         self.delegates: dict[str, float] = {}
         self.first_contact = asyncio.Event()
         self.peer_versions: dict[str, int] = {}
--- a/celeryturn/peers/seeds.py
+++ b/celeryturn/peers/seeds.py
@@ -33,14 +33,5 @@
     }
 
 
-def is_seed_name(name: str) -> bool:
-    """Return whether a name is that of a seed which is not known yet.
-
-    :param name: Name of an instance, or temporary name of a seed.
-    :returns: Whether the name is temporary.
-    """
-    return name.startswith(f'{NAME_PREFIX} ')
-
-
 def _temporary_name(seed: Endpoint) -> str:
     return f'{NAME_PREFIX} {seed.address}:{seed.port}'
--- a/tests/bench/fleet.feature
+++ b/tests/bench/fleet.feature
@@ -32,3 +32,11 @@
     And 16 simulated seconds pass
     And the fleet is cut into halves for 30 s
     Then all know all within 5 s
+
+  Scenario: An instance that was only watched is told what is new once it is a neighbour
+    When all instances start at once
+    And 16 simulated seconds pass
+    And all but 12 instances are lost
+    Then all know all within 60 s
+    When 5 simulated seconds pass
+    Then each is linked as a neighbour with its neighbours
--- a/tests/steps/simulated_fleet.py
+++ b/tests/steps/simulated_fleet.py
@@ -3,7 +3,16 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from bench.fleet.simulation import Fleet, alive_names, knows_all, open_fleet
+from bench.fleet.simulation import (
+    NEIGHBOUR_COUNT,
+    Fleet,
+    alive_names,
+    knows_all,
+    open_fleet,
+)
+from celeryturn.decisions.fleet.membership import Status
+from celeryturn.decisions.fleet.neighbours import neighbours_of
+from celeryturn.peers.links import LinkPurpose
 
 SEED = 11
 SETTLE_SECONDS = 16.0
@@ -100,3 +109,29 @@
     fleet.run(REST_SECONDS)
     after_bytes, _ = fleet.sent_bytes()
     assert (after_bytes - before_bytes) / REST_SECONDS <= count
+
+
+@when('all but {count:d} instances are lost')
+def lose_all_but(context: Context, count: int) -> None:
+    """Kill instances, so that watched ones become neighbours."""
+    fleet = _fleet(context)
+    fleet.kill(sorted(fleet.networks)[count:])
+
+
+@then('each is linked as a neighbour with its neighbours')
+def expect_neighbour_links(context: Context) -> None:
+    """Check the purpose of every dialled link to a neighbour."""
+    for known in _fleet(context).networks.values():
+        own = known.instance.membership
+        purposes = {
+            link.instance: link.purpose
+            for link in known.links
+            if link.purpose is not LinkPurpose.ACCEPTED
+        }
+        live = [
+            name
+            for name in neighbours_of(own, NEIGHBOUR_COUNT)
+            if own.members[name].status is Status.ALIVE
+        ]
+        for name in live:
+            assert purposes.get(name) is LinkPurpose.NEIGHBOUR, purposes
