An instance that has just joined links to one neighbour first

Hypothesis: the copies of the table that a start of all sends are those of links that open between two tables with little in them. Change: one neighbour for the first 2 s after the first contact, then three.

--- a/celeryturn/decisions/fleet/neighbours.py
+++ b/celeryturn/decisions/fleet/neighbours.py
@@ -6,6 +6,8 @@
 from celeryturn.decisions.fleet.ring import name_hash, ring_position
 
 MAX_SUSPECT_NEIGHBOURS: Final = 8
+JOINING_SECONDS: Final = 2.0
+JOINING_NEIGHBOUR_COUNT: Final = 1
 _RESPONDING_STATUSES: Final = frozenset((Status.LISTED, Status.ALIVE))
 
 
@@ -30,6 +32,23 @@
     return chosen
 
 
+def neighbour_count(full_count: int, elapsed_seconds: float) -> int:
+    """Return how many neighbours an instance links to.
+
+    Both ends of a link exchange what they know when it opens.  While many
+    instances start at once that is little, and differs on each link, so that a
+    second link soon would repeat most of what the first one brings.
+
+    :param full_count: Number of neighbours of an instance that has joined.
+    :param elapsed_seconds: Time since the first contact with a peer; negative
+        before it, when each one may be the first to respond.
+    :returns: Number of neighbours.
+    """
+    if 0 <= elapsed_seconds < JOINING_SECONDS:
+        return min(full_count, JOINING_NEIGHBOUR_COUNT)
+    return full_count
+
+
 def next_by_name(membership: Membership) -> list[str]:
     """Choose one more instance to watch, in whatever zone.
 
--- a/celeryturn/peers/dialling.py
+++ b/celeryturn/peers/dialling.py
@@ -91,8 +91,10 @@
     """
     instance = network.instance
     known = instance.membership
-    count = instance.settings.neighbour_count
     now_seconds = instance.clock()
+    count = neighbours.neighbour_count(
+        instance.settings.neighbour_count, now_seconds - network.joined_seconds
+    )
     chosen = {
         *neighbours.neighbours_of(known, count),
         *settle(network.delegates, linked_delegates(known), now_seconds),
--- a/celeryturn/peers/network.py
+++ b/celeryturn/peers/network.py
@@ -1,6 +1,7 @@
 """Links to other instances, and messages to all of them."""
 
 import asyncio
+import math
 from typing import Final
 
 from websockets.asyncio.server import Server
@@ -37,6 +38,7 @@
     :param delegates: Time from which each delegate of another zone is to be
         linked.
     :param first_contact: Set once a peer has reported its versions.
+    :param joined_seconds: Time of that; infinite before.
     :param peer_versions: Newest version of each service that any peer has
         reported.
     :param server: Server that accepts links; ``None`` until started.
@@ -56,6 +58,7 @@
         'dialling',
         'first_contact',
         'instance',
+        'joined_seconds',
         'links',
         'peer_versions',
         'purposes',
@@ -72,6 +75,7 @@
         self.purposes: dict[str, LinkPurpose] = {}
         self.delegates: dict[str, float] = {}
         self.first_contact = asyncio.Event()
+        self.joined_seconds = math.inf
         self.peer_versions: dict[str, int] = {}
         self.server: Server | None = None
         self.seeds: tuple[Endpoint, ...] = ()
--- a/celeryturn/peers/sessions.py
+++ b/celeryturn/peers/sessions.py
@@ -199,7 +199,9 @@
 
 
 def _record_versions(network: Network, message: messages.Versions) -> None:
-    network.first_contact.set()
+    if not network.first_contact.is_set():
+        network.joined_seconds = network.instance.clock()
+        network.first_contact.set()
     peer_versions = network.peer_versions
     for name, version in message.versions.items():
         if name in peer_versions or len(peer_versions) < MAX_SERVICE_COUNT:
--- a/tests/decisions/fleet/dissemination.feature
+++ b/tests/decisions/fleet/dissemination.feature
@@ -61,3 +61,7 @@
   Scenario: Delegates are dialled once they have been chosen for a time
     Given 40 instances in 4 zones that know each other
     Then a delegate that was chosen just now is dialled after 2 s
+
+  Scenario: An instance that has just joined links to one neighbour first
+    Then an instance links to 1 neighbour for 2 s after its first contact, then to 3
+    And an instance without any contact tries 3 neighbours
--- a/tests/steps/dissemination.py
+++ b/tests/steps/dissemination.py
@@ -1,5 +1,6 @@
 """Steps on what instances tell each other about the members of the fleet."""
 
+import math
 from collections import Counter
 
 from behave import given, then, when
@@ -317,3 +318,24 @@
     assert found == [[], [], ['i-1']], found
     delegates.settle(since_seconds, [], NOW_SECONDS + seconds)
     assert not since_seconds
+
+
+@then(
+    'an instance links to {first:d} neighbour for {seconds:g} s after its first'
+    ' contact, then to {full:d}'
+)
+def expect_count(
+    context: Context, first: int, seconds: float, full: int
+) -> None:
+    """Check the number of neighbours over time."""
+    found = [
+        neighbours.neighbour_count(full, elapsed_seconds)
+        for elapsed_seconds in (0, seconds - 0.1, seconds)
+    ]
+    assert found == [first, first, full], found
+
+
+@then('an instance without any contact tries {count:d} neighbours')
+def expect_first_count(context: Context, count: int) -> None:
+    """Check the number before the first contact."""
+    assert neighbours.neighbour_count(3, -math.inf) == count
