One reader of addresses, one bounded table, and a success observed once

Left by earlier work: splitting an address stood in the command-line client and in the platform's settings; dropping the oldest entry stood three times; a success called observe_response twice. Behaviour as before.

--- a/celeryturn/client.py
+++ b/celeryturn/client.py
@@ -7,7 +7,7 @@
 from celeryturn.errors import CeleryturnError, Fault, Kind
 from celeryturn.http.client import fetch
 from celeryturn.http.messages import HttpReply, HttpRequest
-from celeryturn.number_text import read_port
+from celeryturn.number_text import read_endpoint
 
 REQUEST_TIMEOUT_SECONDS: Final = 10.0
 FIRST_ERROR_STATUS: Final = 400
@@ -46,12 +46,12 @@
     :returns: Address and port.
     :raises CeleryturnError: ``bad_request`` when it is not ADDRESS:PORT.
     """
-    address, _, port_text = str(endpoint).rpartition(':')
-    port = read_port(port_text)
-    if not address or port is None:
+    parts = read_endpoint(str(endpoint))
+    if parts is None:
         raise CeleryturnError(
             Kind.BAD_REQUEST, f'--at must be ADDRESS:PORT, got {endpoint!r}'
         )
+    address, port = parts
     return address.strip('[]'), port
 
 
--- a/celeryturn/decisions/targets/departures.py
+++ b/celeryturn/decisions/targets/departures.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Iterator
 from typing import Final, NamedTuple
 
+from celeryturn.decisions.bounded_table import put_latest
 from celeryturn.units import Integer
 
 MAX_LEAVING: Final = 4096
@@ -60,10 +61,8 @@
     """
     if is_leaving(departures, incarnation):
         return False
-    departures.born_ms.pop(incarnation.target, None)
-    departures.born_ms[incarnation.target] = incarnation.born_ms
-    if len(departures.born_ms) > MAX_LEAVING:
-        departures.born_ms.pop(next(iter(departures.born_ms)))
+    target, born_ms = incarnation
+    put_latest(departures.born_ms, target, born_ms, MAX_LEAVING)
     return True
 
 
@@ -88,10 +87,7 @@
     :param target: Identifier of the target.
     :param version: Last version of its entry.
     """
-    departures.removed.pop(target, None)
-    departures.removed[target] = version
-    if len(departures.removed) > MAX_REMOVED:
-        departures.removed.pop(next(iter(departures.removed)))
+    put_latest(departures.removed, target, version, MAX_REMOVED)
 
 
 def was_removed(
--- a/celeryturn/decisions/targets/entry_history.py
+++ b/celeryturn/decisions/targets/entry_history.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
+from celeryturn.decisions.bounded_table import put_latest
 from celeryturn.decisions.store_position import NO_POSITION, StorePosition
 from celeryturn.decisions.targets.directory import Directory, find_replica
 from celeryturn.decisions.targets.replicas import TargetEntry
@@ -91,11 +92,9 @@
     :param position: Position up to which changes were read.
     """
     history.changed.pop(target, None)
-    history.removed.pop(target, None)
-    history.removed[target] = position
-    if len(history.removed) > MAX_REMOVALS:
-        oldest = next(iter(history.removed))
-        history.complete_after = history.removed.pop(oldest)
+    dropped = put_latest(history.removed, target, position, MAX_REMOVALS)
+    if dropped is not None:
+        history.complete_after = dropped
 
 
 def record_update(history: EntryHistory, update: EntryUpdate) -> None:
--- a/celeryturn/forwarding/runner.py
+++ b/celeryturn/forwarding/runner.py
@@ -336,13 +336,9 @@
         )
 
 
+# A success is observed together with its latency.
 _RESPONSE_OUTCOMES: Final = frozenset(
-    (
-        AttemptOutcome.SUCCEEDED,
-        AttemptOutcome.FAILED,
-        AttemptOutcome.SHED,
-        AttemptOutcome.UNUSABLE,
-    )
+    (AttemptOutcome.FAILED, AttemptOutcome.SHED, AttemptOutcome.UNUSABLE)
 )
 # No process or another target listens at the address of the target.
 _UNREACHABLE_OUTCOMES: Final = frozenset(
--- a/celeryturn/number_text.py
+++ b/celeryturn/number_text.py
@@ -46,3 +46,16 @@
     :returns: The port, or ``None`` if the text is no number from 1 to 65535.
     """
     return read_count(text, MAX_PORT) or None
+
+
+def read_endpoint(text: str) -> tuple[str, int] | None:
+    """Read an address with a port.
+
+    :param text: ``ADDRESS:PORT``.
+    :returns: Address and port, or ``None`` if the text is not of this form.
+    """
+    address, _, port_text = text.rpartition(':')
+    port = read_port(port_text)
+    if not address or port is None:
+        return None
+    return address, port
--- a/celeryturn/platform/node_settings.py
+++ b/celeryturn/platform/node_settings.py
@@ -7,7 +7,7 @@
 from celeryturn.decisions.load.extra_load import ExtraLoadBounds
 from celeryturn.errors import CeleryturnError, Fault, Kind
 from celeryturn.forwarding.settings import ForwardingSettings, Grace
-from celeryturn.number_text import read_decimal, read_port
+from celeryturn.number_text import read_decimal, read_endpoint, read_port
 from celeryturn.settings import Endpoint, Settings, Timing
 
 SETTINGS_PATH_VARIABLE: Final = 'CELERYTURN_BOOT'
@@ -205,8 +205,5 @@
     :param text: ``IP:PORT``.
     :returns: The endpoint, or ``None`` if the text is not of this form.
     """
-    address, _, port_text = text.rpartition(':')
-    port = read_port(port_text)
-    if not address or port is None:
-        return None
-    return Endpoint(address, port)
+    parts = read_endpoint(text)
+    return None if parts is None else Endpoint(*parts)
--- a/tests/steps/numbers.py
+++ b/tests/steps/numbers.py
@@ -111,7 +111,7 @@
     update = EntryUpdate(StorePosition(0, 1), True, (make_entry('t'),), ())
     message = cbor2.loads(messages.pack(messages.TargetList(update)))
     messages.unpack(cbor2.dumps(message))
-    _, _, (_, _, entries, _) = message
+    _, _, (_, _, entries, *_) = message
     entries[0][TargetEntry._fields.index(field)] = msgspec.json.decode(text)
     try:
         messages.unpack(cbor2.dumps(message))
