--- a/tools/boundary.py
+++ b/tools/boundary.py
@@ -23,6 +23,8 @@
             '(?i:x-part-stamps)',
             '(?i:x-missing-parts)',
             '(?i:x-instance-id)',
+            '(?i:server-leaving)',
+            '(?i:store-era)',
             '/v1/kv-',
             '/v1/resolve',
             '/v1/readiness',
