Log the fingerprint of each forwarded request

Two log lines of one incident could not be told to be about the same request: they name the identifier of an attempt, which is new each time, and the route. The fingerprint covers method, host, path, query and body.

--- a/celeryturn/forwarding/forward.py
+++ b/celeryturn/forwarding/forward.py
@@ -10,6 +10,10 @@
     elapsed_seconds,
     observe_timeout,
 )
+from celeryturn.decisions.request.fingerprint import (
+    Fingerprint,
+    compute_fingerprint,
+)
 from celeryturn.decisions.request.legs import Plan, ShardedRequest
 from celeryturn.decisions.request.replies import AttemptOutcome, TargetReply
 from celeryturn.decisions.request.route_table import Route, match_route
@@ -70,7 +74,9 @@
     if not origin.is_relayed and should_hand_over(shared, plan):
         return await serve_by_peer(shared, request, plan)
     outgoing = request._replace(headers=wire.forwarded_headers(request.headers))
-    context = RequestContext(outgoing, route, plan, origin.is_relayed)
+    context = RequestContext(
+        outgoing, route, plan, _fingerprint(request), origin.is_relayed
+    )
     runner = Runner(shared, context)
     return await _run(runner, request, on_forwarded)
 
@@ -119,6 +125,11 @@
     return route
 
 
+def _fingerprint(request: HttpRequest) -> Fingerprint:
+    host = header(request.headers, 'host') or ''
+    return compute_fingerprint(request.method, host, request.url, request.body)
+
+
 def _not_configured_error(shared: SharedState) -> CeleryturnError:
     progress = shared.progress
     since_contact_seconds = shared_state.now() - progress.last_contact_seconds
--- a/celeryturn/forwarding/request_log.py
+++ b/celeryturn/forwarding/request_log.py
@@ -61,6 +61,7 @@
     log(
         FORWARDED_BADLY if is_bad else FORWARDED,
         request=wire.read_attempt_id(request),
+        fingerprint=runner.context.fingerprint.hex(),
         route=runner.context.route.name,
         version=shared_state.table_version(shared),
         status=status,
--- a/celeryturn/forwarding/runner.py
+++ b/celeryturn/forwarding/runner.py
@@ -4,6 +4,7 @@
 from typing import Final, NamedTuple
 
 from celeryturn.decisions.request import legs, sharded
+from celeryturn.decisions.request.fingerprint import Fingerprint
 from celeryturn.decisions.request.pacing import (
     estimate_latency,
     hedge_delay_seconds,
@@ -48,6 +49,8 @@
         target and the attempt.
     :param route: Route of the request.
     :param plan: Parameters of the request, fixed at its admission.
+    :param fingerprint: Fingerprint of the request, equal each time that it is
+        sent.
     :param is_relayed: Whether it is served for a peer; it then waits behind the
         requests of own callers of the same priority.
     """
@@ -55,6 +58,7 @@
     request: HttpRequest
     route: Route
     plan: legs.Plan
+    fingerprint: Fingerprint
     is_relayed: bool = False
 
 
