--- a/standins/shard_target.py
+++ b/standins/shard_target.py
@@ -4,6 +4,7 @@
 import contextlib
 import enum
 import hashlib
+from collections.abc import Callable
 from types import MappingProxyType
 from typing import Final
 
@@ -105,6 +106,10 @@
         order.
     :param disconnect_count: Requests whose connection was closed while they
         were in progress.
+    :param ending_urls: Paths with query of the requests that end this target
+        when it runs them.
+    :param served_urls: Paths with query of the requests that it ran, in order.
+    :param on_ended: Called when a request has ended it.
     """
 
     def __init__(self, identifier: str, body: bytes = b'') -> None:
@@ -119,6 +124,9 @@
         self.executed_attempt_ids: list[str] = []
         self.received_headers: list[Headers] = []
         self.disconnect_count = 0
+        self.ending_urls: frozenset[str] = frozenset()
+        self.served_urls: list[str] = []
+        self.on_ended: Callable[[ShardTarget], None] = _ignore
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -158,6 +166,10 @@
             writer.transport.abort()
 
 
+def _ignore(_ended: ShardTarget) -> None:
+    """Do nothing when a target has ended."""
+
+
 class _ConnectionHandler:
     """Handles the requests of one connection."""
 
@@ -171,6 +183,7 @@
         self._reader = reader
         self._writer = writer
         self._protocol = h11.Connection(h11.SERVER)
+        self._url = ''
 
     async def run(self) -> None:
         """Reply to requests until the connection ends."""
@@ -191,6 +204,7 @@
                 return None
             if isinstance(event, h11.Request):
                 headers = decode_headers(event.headers)
+                self._url = event.target.decode()
             event = await self._read_event()
         return headers
 
@@ -210,14 +224,26 @@
         if target.fault is Fault.SHED:
             await self._shed(headers)
             return
+        await self._run_request(headers)
+
+    async def _run_request(self, headers: Headers) -> None:
+        target = self._target
         target.executed_attempt_ids.append(
             header(headers, 'x-attempt-id') or ''
         )
+        target.served_urls.append(self._url)
         await self._simulate_work()
+        if self._url in target.ending_urls:
+            await self._end_target()
         if target.fault in _ENDLESS_BYTES:
             await self._reply_without_end()
         await self._reply_after_run(headers)
 
+    async def _end_target(self) -> None:
+        await self._target.stop()
+        self._target.on_ended(self._target)
+        raise ConnectionResetError
+
     async def _shed(self, headers: Headers) -> None:
         shed_headers = [('x-not-executed', '1')]
         if self._target.retry_after:
