--- /dev/null
+++ b/celeryturn/decisions/request/attempts.py
@@ -0,0 +1,126 @@
+"""Single steps of a request: choose a target, send, settle a leg, finish."""
+
+from celeryturn.decisions.request.legs import (
+    Actions,
+    Attempt,
+    Cancel,
+    Finish,
+    Leg,
+    Send,
+    ShardedRequest,
+    View,
+)
+from celeryturn.decisions.request.pacing import with_early_stall
+from celeryturn.decisions.targets.replicas import (
+    Replica,
+    choose_replica,
+    record_send,
+)
+
+
+def choose(
+    request: ShardedRequest, position: int, view: View
+) -> Replica | None:
+    """Choose the target of the next attempt of a leg.
+
+    :param request: Request of the leg.
+    :param position: Index of the leg.
+    :param view: Inputs of the decision.
+    :returns: A target that the leg was not sent to, or None if there is none
+        that accepts requests.
+    """
+    tried_targets = request.legs[position].tried_targets
+    service = request.plan.services[position]
+    # Without extra load, a request to a paused target cannot be hedged, so a
+    # pause is assumed earlier.
+    is_extra_load_low = view.is_extra_load_low(service)
+    return choose_replica(
+        (
+            replica
+            for replica in view.serving(service)
+            if replica.entry.target not in tried_targets
+        ),
+        with_early_stall(view.expected_latency)
+        if is_extra_load_low
+        else view.expected_latency,
+        view.zone,
+        view.now_seconds,
+        view.random(),
+    )
+
+
+def send(
+    request: ShardedRequest, position: int, replica: Replica, view: View
+) -> Send:
+    """Send an attempt of a leg.
+
+    :param request: Request of the leg.
+    :param position: Index of the leg.
+    :param replica: Target of the attempt.
+    :param view: Inputs of the decision.
+    :returns: The action.
+    """
+    leg = request.legs[position]
+    request.send_count += 1
+    attempt = Attempt(request.send_count, position, replica, view.now_seconds)
+    leg.attempts[attempt.number] = attempt
+    leg.tried_targets.add(replica.entry.target)
+    record_send(replica, view.now_seconds)
+    leg.missing_resource = None
+    leg.hedge_at_seconds = view.now_seconds + view.hedge_delay_seconds
+    request.in_flight[attempt.number] = position
+    return Send(attempt)
+
+
+def settle(request: ShardedRequest, leg: Leg) -> None:
+    """Record that no further attempt of a leg is sent.
+
+    :param request: Request of the leg.
+    :param leg: The leg.
+    """
+    leg.is_settled = True
+    leg.is_held = False
+    request.unsettled_count -= 1
+
+
+def is_decided(request: ShardedRequest) -> bool:
+    """Return whether the outcome of a request cannot change any more.
+
+    :param request: Request to assess.
+    :returns: Whether all its legs are settled, or too few are left for a
+        success.
+    """
+    if not request.unsettled_count:
+        return True
+    # A request that can no longer succeed is answered at once.
+    max_success_count = request.success_count + request.unsettled_count
+    return max_success_count < request.plan.min_success_count
+
+
+def cancel_all(request: ShardedRequest, leg: Leg) -> Actions:
+    """Cancel the attempts of a leg that are in flight.
+
+    :param request: Request of the leg.
+    :param leg: The leg.
+    :returns: The actions.
+    """
+    actions: Actions = []
+    for attempt in leg.attempts.values():
+        request.in_flight.pop(attempt.number, None)
+        actions.append(Cancel(attempt))
+    leg.attempts.clear()
+    return actions
+
+
+def finish(request: ShardedRequest) -> Actions:
+    """End a request, and cancel what is in flight.
+
+    :param request: Request to end.
+    :returns: The actions.
+    """
+    actions: Actions = []
+    for leg in request.legs:
+        actions.extend(cancel_all(request, leg))
+    request.is_finished = True
+    actions.append(Finish())
+    return actions
--- a/celeryturn/decisions/request/legs.py
+++ b/celeryturn/decisions/request/legs.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Sequence
 from typing import Final, NamedTuple, TypeAlias
 
+from celeryturn.decisions.request.quarantine import Standing
 from celeryturn.decisions.request.replies import AttemptOutcome, TargetReply
 from celeryturn.decisions.targets.replicas import ExpectedLatency, Replica
 
@@ -22,6 +23,8 @@
     :param started_seconds: Time of admission.
     :param due_seconds: Time after which an answer is late.
     :param deadline_seconds: Time after which an answer is useless.
+    :param is_trial: Whether this is the one request that finds out whether a
+        blocked request still ends targets.
     """
 
     services: tuple[str, ...]
@@ -31,6 +34,7 @@
     started_seconds: float
     due_seconds: float
     deadline_seconds: float
+    is_trial: bool = False
 
 
 def is_late(plan: Plan, now_seconds: float) -> bool:
@@ -111,6 +115,8 @@
     :param reply: Reply of the successful attempt, or the last failure reply
         if no attempt succeeded.
     :param is_settled: Whether no further attempt is sent.
+    :param is_held: Whether its next attempt waits until a target has survived
+        the request.
     :param last_outcome: Outcome of the attempt that ended last.
     :param hedge_at_seconds: Time from which a hedge may be sent.
     :param missing_resource: Why no further attempt was sent when one was
@@ -120,6 +126,7 @@
     __slots__ = (
         'attempts',
         'hedge_at_seconds',
+        'is_held',
         'is_settled',
         'last_outcome',
         'missing_resource',
@@ -134,6 +141,7 @@
         self.possible_run_count = 0
         self.reply: TargetReply | None = None
         self.is_settled = False
+        self.is_held = False
         self.last_outcome: AttemptOutcome | None = None
         self.hedge_at_seconds = 0.0
         self.missing_resource: MissingResource | None = None
@@ -149,17 +157,23 @@
     :param unsettled_count: Number of legs that are not settled.
     :param success_count: Number of legs that succeeded.
     :param send_count: Number of attempts that were sent.
+    :param lost_count: Number of attempts that ended without a reply.
+    :param unverified: Numbers of attempts whose target may have ended.
+    :param has_survived: Whether a target has run the request to its reply.
     :param is_finished: Whether the outcome is final.
     """
 
     __slots__ = (
+        'has_survived',
         'in_flight',
         'is_finished',
         'legs',
+        'lost_count',
         'plan',
         'send_count',
         'success_count',
         'unsettled_count',
+        'unverified',
     )
 
     def __init__(self, plan: Plan) -> None:
@@ -169,6 +183,9 @@
         self.unsettled_count = len(self.legs)
         self.success_count = 0
         self.send_count = 0
+        self.lost_count = 0
+        self.unverified: set[int] = set()
+        self.has_survived = False
         self.is_finished = False
 
 
@@ -187,6 +204,9 @@
         bucket's capacity that must remain.
     :param is_extra_load_low: Returns whether few tokens for extra requests to
         a service are left.
+    :param standing: Whether targets ended under this request before, and what
+        follows for sending it.
+    :param suspect_services: Services of these targets.
     """
 
     now_seconds: float
@@ -197,3 +217,5 @@
     random: Callable[[], float]
     spend: Callable[[str, float], bool]
     is_extra_load_low: Callable[[str], bool]
+    standing: Standing = Standing.CLEAR
+    suspect_services: frozenset[str] = frozenset()
--- a/celeryturn/decisions/request/replies.py
+++ b/celeryturn/decisions/request/replies.py
@@ -36,6 +36,8 @@
         from this instance.
     :param rate_limit_per_second: Requests a second that the target takes from
         all instances; infinite if it states none, ``None`` if unknown.
+    :param may_have_ended: Whether the connection broke off, as it does when
+        the target ends; the caller then reports once this is known.
     """
 
     attempt_outcome: AttemptOutcome
@@ -45,3 +47,4 @@
     is_leaving: bool = False
     retry_after_seconds: float = 0.0
     rate_limit_per_second: float | None = None
+    may_have_ended: bool = False
--- a/celeryturn/decisions/request/sharded.py
+++ b/celeryturn/decisions/request/sharded.py
@@ -7,29 +7,35 @@
 
 from typing import Final
 
+from celeryturn.decisions.request.attempts import (
+    cancel_all,
+    choose,
+    finish,
+    is_decided,
+    send,
+    settle,
+)
+from celeryturn.decisions.request.canary import (
+    advance,
+    hold,
+    may_hedge,
+    may_send_again,
+    needs_canary,
+    record_outcome,
+)
 from celeryturn.decisions.request.legs import (
     Actions,
-    Attempt,
-    Cancel,
-    Finish,
     Leg,
     MissingResource,
-    Send,
     ShardedRequest,
     View,
     Wake,
 )
-from celeryturn.decisions.request.pacing import with_early_stall
 from celeryturn.decisions.request.replies import (
     NOT_RUN,
     AttemptOutcome,
     TargetReply,
 )
-from celeryturn.decisions.targets.replicas import (
-    Replica,
-    choose_replica,
-    record_send,
-)
 
 MAX_SENDS_PER_LEG: Final = 4
 HEDGE_RESERVE_SHARE: Final = 0.1
@@ -40,27 +46,29 @@
     """Send the first attempt of each leg.
 
     The request ends without any send if fewer legs have a target than must
-    succeed.
+    succeed.  If targets have ended under it before, one leg is sent first.
 
     :param request: New request.
     :param view: Inputs of the decision.
     :returns: Actions to perform.
     """
     chosen = [
-        _choose(request, position, view)
-        for position in range(len(request.legs))
+        choose(request, position, view) for position in range(len(request.legs))
     ]
     if (
         sum(choice is not None for choice in chosen)
         < request.plan.min_success_count
     ):
-        return _finish(request)
+        return finish(request)
+    if needs_canary(request, view):
+        hold(request)
+        return advance(request, view, _send_next)
     actions: Actions = []
     for position, replica in enumerate(chosen):
         if replica is None:
-            _settle(request, request.legs[position])
+            settle(request, request.legs[position])
         else:
-            actions.append(_send(request, position, replica, view))
+            actions.append(send(request, position, replica, view))
     actions.append(Wake(_next_wake_seconds(request, view)))
     return actions
 
@@ -82,6 +90,7 @@
         return []
     leg = request.legs[position]
     leg.attempts.pop(number, None)
+    record_outcome(request, reply.attempt_outcome)
     if reply.attempt_outcome is AttemptOutcome.SUCCEEDED:
         return _succeed(request, leg, reply, view)
     leg.last_outcome = reply.attempt_outcome
@@ -89,7 +98,22 @@
         leg.possible_run_count += 1
     if reply.attempt_outcome is AttemptOutcome.FAILED:
         leg.reply = reply
-    return _retry_or_settle(request, position, view)
+    if reply.may_have_ended:
+        request.unverified.add(number)
+    actions = _retry_or_settle(request, position, view)
+    return [*actions, *advance(request, view, _send_next)]
+
+
+def on_verified(request: ShardedRequest, number: int, view: View) -> Actions:
+    """Go on once it is known whether the target of an attempt has ended.
+
+    :param request: Request of the attempt.
+    :param number: Number of the attempt, which ended without a reply.
+    :param view: Inputs of the decision.
+    :returns: Actions to perform.
+    """
+    request.unverified.discard(number)
+    return advance(request, view, _send_next)
 
 
 def on_wake(request: ShardedRequest, view: View) -> Actions:
@@ -102,10 +126,10 @@
     if request.is_finished:
         return []
     if _is_time_up(request, view.now_seconds):
-        return _finish(request)
+        return finish(request)
     actions: Actions = []
     for position, leg in enumerate(request.legs):
-        if _may_hedge(request, leg, view.now_seconds):
+        if _may_hedge(request, leg, view, view.now_seconds):
             actions.extend(_hedge(request, position, view))
     actions.append(Wake(_next_wake_seconds(request, view)))
     return actions
@@ -117,7 +141,7 @@
     :param request: Request to end.
     :returns: Actions to perform.
     """
-    return [] if request.is_finished else _finish(request)
+    return [] if request.is_finished else finish(request)
 
 
 def may_have_run(request: ShardedRequest) -> bool:
@@ -137,11 +161,11 @@
     leg.reply = reply
     leg.last_outcome = AttemptOutcome.SUCCEEDED
     request.success_count += 1
-    actions = _cancel_all(request, leg)
-    _settle(request, leg)
+    actions = cancel_all(request, leg)
+    settle(request, leg)
     if not request.unsettled_count or _is_time_up(request, view.now_seconds):
-        actions.extend(_finish(request))
-    return actions
+        return [*actions, *finish(request)]
+    return [*actions, *advance(request, view, _send_next)]
 
 
 def _retry_or_settle(
@@ -150,19 +174,32 @@
     leg = request.legs[position]
     if leg.attempts:
         return []
-    if _may_retry(request, leg):
-        replica = _choose(request, position, view)
-        if replica is not None and _spend_for_retry(request, position, view):
-            return [
-                _send(request, position, replica, view),
-                Wake(_next_wake_seconds(request, view)),
-            ]
-        leg.missing_resource = (
-            MissingResource.EXTRA_LOAD if replica else MissingResource.TARGET
-        )
-    _settle(request, leg)
-    if _is_decided(request):
-        return _finish(request)
+    if needs_canary(request, view) or not may_send_again(request, view):
+        leg.is_held = True
+        return []
+    actions = _send_next(request, position, view)
+    if actions:
+        return actions
+    settle(request, leg)
+    return finish(request) if is_decided(request) else []
+
+
+def _send_next(request: ShardedRequest, position: int, view: View) -> Actions:
+    leg = request.legs[position]
+    is_retry = bool(leg.tried_targets)
+    if is_retry and not _may_retry(request, leg):
+        return []
+    replica = choose(request, position, view)
+    if replica is not None and (
+        not is_retry or _spend_for_retry(request, position, view)
+    ):
+        return [
+            send(request, position, replica, view),
+            Wake(_next_wake_seconds(request, view)),
+        ]
+    leg.missing_resource = (
+        MissingResource.EXTRA_LOAD if replica else MissingResource.TARGET
+    )
     return []
 
 
@@ -183,22 +220,24 @@
     return view.spend(request.plan.services[position], 0)
 
 
-def _may_hedge(request: ShardedRequest, leg: Leg, now_seconds: float) -> bool:
+def _may_hedge(
+    request: ShardedRequest, leg: Leg, view: View, at_seconds: float
+) -> bool:
     plan = request.plan
     is_allowed = (
         plan.is_idempotent and leg.possible_run_count + 1 < plan.attempt_limit
     )
-    if not is_allowed or leg.is_settled:
+    if not is_allowed or leg.is_settled or not may_hedge(request, view):
         return False
-    return len(leg.attempts) == 1 and now_seconds >= leg.hedge_at_seconds
+    return len(leg.attempts) == 1 and at_seconds >= leg.hedge_at_seconds
 
 
 def _hedge(request: ShardedRequest, position: int, view: View) -> Actions:
     leg = request.legs[position]
-    replica = _choose(request, position, view)
+    replica = choose(request, position, view)
     service = request.plan.services[position]
     if replica is not None and view.spend(service, HEDGE_RESERVE_SHARE):
-        return [_send(request, position, replica, view)]
+        return [send(request, position, replica, view)]
     leg.missing_resource = (
         MissingResource.EXTRA_LOAD if replica else MissingResource.TARGET
     )
@@ -206,57 +245,6 @@
     return []
 
 
-def _choose(
-    request: ShardedRequest, position: int, view: View
-) -> Replica | None:
-    tried_targets = request.legs[position].tried_targets
-    service = request.plan.services[position]
-    # Without extra load, a request to a paused target cannot be hedged, so a
-    # pause is assumed earlier.
-    is_extra_load_low = view.is_extra_load_low(service)
-    return choose_replica(
-        (
-            replica
-            for replica in view.serving(service)
-            if replica.entry.target not in tried_targets
-        ),
-        with_early_stall(view.expected_latency)
-        if is_extra_load_low
-        else view.expected_latency,
-        view.zone,
-        view.now_seconds,
-        view.random(),
-    )
-
-
-def _send(
-    request: ShardedRequest, position: int, replica: Replica, view: View
-) -> Send:
-    leg = request.legs[position]
-    request.send_count += 1
-    attempt = Attempt(request.send_count, position, replica, view.now_seconds)
-    leg.attempts[attempt.number] = attempt
-    leg.tried_targets.add(replica.entry.target)
-    record_send(replica, view.now_seconds)
-    leg.missing_resource = None
-    leg.hedge_at_seconds = view.now_seconds + view.hedge_delay_seconds
-    request.in_flight[attempt.number] = position
-    return Send(attempt)
-
-
-def _settle(request: ShardedRequest, leg: Leg) -> None:
-    leg.is_settled = True
-    request.unsettled_count -= 1
-
-
-def _is_decided(request: ShardedRequest) -> bool:
-    if not request.unsettled_count:
-        return True
-    # A request that can no longer succeed is answered at once.
-    max_success_count = request.success_count + request.unsettled_count
-    return max_success_count < request.plan.min_success_count
-
-
 def _is_time_up(request: ShardedRequest, now_seconds: float) -> bool:
     if now_seconds >= request.plan.deadline_seconds:
         return True
@@ -264,30 +252,12 @@
     return is_late and request.success_count >= request.plan.min_success_count
 
 
-def _cancel_all(request: ShardedRequest, leg: Leg) -> Actions:
-    actions: Actions = []
-    for attempt in leg.attempts.values():
-        request.in_flight.pop(attempt.number, None)
-        actions.append(Cancel(attempt))
-    leg.attempts.clear()
-    return actions
-
-
-def _finish(request: ShardedRequest) -> Actions:
-    actions: Actions = []
-    for leg in request.legs:
-        actions.extend(_cancel_all(request, leg))
-    request.is_finished = True
-    actions.append(Finish())
-    return actions
-
-
 def _next_wake_seconds(request: ShardedRequest, view: View) -> float:
     plan = request.plan
     times = [plan.deadline_seconds]
     if view.now_seconds < plan.due_seconds:
         times.append(plan.due_seconds)
     for leg in request.legs:
-        if _may_hedge(request, leg, leg.hedge_at_seconds):
+        if _may_hedge(request, leg, view, leg.hedge_at_seconds):
             times.append(leg.hedge_at_seconds)
     return max(view.now_seconds, min(times))
--- a/celeryturn/errors.py
+++ b/celeryturn/errors.py
@@ -33,6 +33,7 @@
     NO_ROUTE = 'no_route'
     NO_TARGET = 'no_target'
     LEAVING = 'leaving'
+    ENDS_TARGETS = 'ends_targets'
     REPLY_LOST = 'reply_lost'
     COVERAGE_TOO_LOW = 'coverage_too_low'
     TIMED_OUT = 'timed_out'
@@ -170,6 +171,14 @@
         Kind.TIMED_OUT: Answer(
             'CT-209', 504, Run.UNKNOWN, 6, 0, 'Use a longer deadline.'
         ),
+        Kind.ENDS_TARGETS: Answer(
+            'CT-210',
+            503,
+            _NOT_RUN,
+            4,
+            300,
+            'Do not repeat it; targets ended each time that they ran it.',
+        ),
         Kind.HOME_HELD: Answer(
             'CT-301', 503, _NOT_RUN, 4, 5, 'Retry when the home has moved.'
         ),
--- a/celeryturn/events.py
+++ b/celeryturn/events.py
@@ -113,6 +113,12 @@
     'lines_dropped',
     'Log lines were dropped because the line budget was used up.',
 )
+REQUEST_STANDING: Final = Event(
+    407,
+    'request_standing',
+    'A request became suspect, blocked or clear, by the targets that ended'
+    ' while they ran it.',
+)
 TARGET_LEAVING: Final = Event(
     500, 'target_leaving', 'A target is leaving and receives no new requests.'
 )
@@ -140,6 +146,9 @@
 LINKS_RESTORED: Final = Event(
     506, 'links_restored', 'Targets can be reached again.'
 )
+TARGET_ENDED: Final = Event(
+    507, 'target_ended', 'A target ended while it ran requests.'
+)
 INTERNAL_FAULT: Final = Event(
     900, 'internal_fault', 'An unexpected error in the program; report it.'
 )
@@ -173,6 +182,7 @@
     HEADER_IGNORED,
     HEADER_UNKNOWN,
     HANDED_OVER,
+    REQUEST_STANDING,
     TARGET_LEAVING,
     TARGET_RETURNED,
     TARGET_RATE,
@@ -180,6 +190,7 @@
     TARGETS_HEARD,
     LINKS_LOST,
     LINKS_RESTORED,
+    TARGET_ENDED,
     INTERNAL_FAULT,
     LINES_DROPPED,
 )
--- a/celeryturn/forwarding/background.py
+++ b/celeryturn/forwarding/background.py
@@ -14,6 +14,7 @@
     may_lack_newer_routes,
 )
 from celeryturn.forwarding.shared_state import SharedState
+from celeryturn.forwarding.target_ends import examine_targets
 from celeryturn.forwarding.target_links import watch_target_links
 from celeryturn.loops import Loop
 from celeryturn.peers.dialling import gossip
@@ -36,6 +37,15 @@
         lambda: gossip(network),
         lambda: _become_ready(shared),
         lambda: announce_busy(shared, network),
+        *_make_target_loops(shared, network),
+    )
+
+
+def _make_target_loops(
+    shared: SharedState, network: Network
+) -> tuple[Loop, ...]:
+    return (
+        lambda: examine_targets(shared),
         lambda: watch_target_links(
             shared, functools.partial(follow_links, shared, network)
         ),
--- a/celeryturn/forwarding/callbacks.py
+++ b/celeryturn/forwarding/callbacks.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeAlias
 
+from celeryturn.decisions.request.quarantine import TargetEnd
 from celeryturn.decisions.request.route_table import RouteTable
 from celeryturn.decisions.targets.departures import TargetIncarnation
 from celeryturn.decisions.targets.stated_rates import StatedRate
@@ -13,7 +14,7 @@
 OnAdopted: TypeAlias = Callable[[RouteTable], None]
 OnTargetLeaving: TypeAlias = Callable[[TargetIncarnation], None]
 OnRatesStated: TypeAlias = Callable[[tuple[StatedRate, ...]], None]
-
+OnEndsReported: TypeAlias = Callable[[tuple[TargetEnd, ...]], None]
 
 HandOver: TypeAlias = Callable[
     [HttpRequest, HandoverTerms], Awaitable[HttpReply]
@@ -32,12 +33,15 @@
         departure.
     :param rates_stated: Receive what is new of the request rates that targets
         state.
+    :param ends_reported: Receive what is new of targets that ended while they
+        ran requests.
     :param progressed: Called when this instance knows more of the store.
     :param hand_over: Lets a peer serve a request.
     """
 
     __slots__ = (
         'adopted',
+        'ends_reported',
         'hand_over',
         'progressed',
         'rates_stated',
@@ -48,5 +52,6 @@
         self.adopted: list[OnAdopted] = []
         self.target_leaving: list[OnTargetLeaving] = []
         self.rates_stated: list[OnRatesStated] = []
+        self.ends_reported: list[OnEndsReported] = []
         self.progressed: list[Callable[[], None]] = []
         self.hand_over: HandOver = _decline
--- /dev/null
+++ b/celeryturn/forwarding/failures.py
@@ -0,0 +1,79 @@
+"""Answers to forwarded requests that did not succeed."""
+
+from celeryturn.decisions.request import retry_after
+from celeryturn.decisions.request.route_table import Route
+from celeryturn.decisions.targets import directory
+from celeryturn.errors import CeleryturnError, Kind
+from celeryturn.forwarding import shared_state
+from celeryturn.forwarding.observations import get_expected_latency
+from celeryturn.forwarding.runner import Runner, may_have_run
+from celeryturn.http.messages import HttpReply
+from celeryturn.platform import wire
+
+
+def failure_outcome(
+    route: Route, runner: Runner
+) -> HttpReply | CeleryturnError:
+    """Choose the answer to a request that did not succeed.
+
+    :param route: Route of the request.
+    :param runner: The finished request.
+    :returns: The failure reply of a target, or why there is none.
+    """
+    state = runner.state
+    if not may_have_run(runner):
+        return _no_target_error(runner)
+    is_deadline_passed = shared_state.now() >= state.plan.deadline_seconds
+    if is_deadline_passed:
+        return CeleryturnError(
+            Kind.TIMED_OUT, 'the deadline passed before the request succeeded'
+        )
+    if route.gather is not None:
+        return CeleryturnError(
+            Kind.COVERAGE_TOO_LOW,
+            f'{state.success_count} of {len(state.legs)} shards succeeded,'
+            ' too few for an answer',
+        )
+    reply = state.legs[0].reply
+    if reply is not None:
+        return wire.caller_reply(runner.replies[reply.signature])
+    return CeleryturnError(
+        Kind.REPLY_LOST,
+        'no usable reply from a target; the request may have run',
+    )
+
+
+def _no_target_error(runner: Runner) -> CeleryturnError:
+    shared = runner.shared
+    plan = runner.context.plan
+    now_seconds = shared_state.now()
+    expected_latency = get_expected_latency(shared, runner.context.route)
+    serving = [
+        directory.serving_replicas(shared.directory, service)
+        for service in plan.services
+    ]
+    capacity_seconds = retry_after.capacity_retry_seconds(
+        (
+            retry_after.seconds_until_capacity(
+                replicas, expected_latency, now_seconds
+            )
+            for replicas in serving
+        ),
+        plan.min_success_count,
+        shared.instance.random(),
+    )
+    wanted_seconds = retry_after.wanted_retry_seconds(
+        (
+            retry_after.seconds_until_wanted(replicas, now_seconds)
+            for replicas in serving
+        ),
+        plan.min_success_count,
+        shared.instance.random(),
+    )
+    return CeleryturnError(
+        Kind.NO_TARGET,
+        'no target accepted the request',
+        retry_after_seconds=None
+        if capacity_seconds is None
+        else max(capacity_seconds, wanted_seconds),
+    )
--- a/celeryturn/forwarding/housekeeping.py
+++ b/celeryturn/forwarding/housekeeping.py
@@ -5,9 +5,10 @@
 
 from celeryturn.decisions.targets import directory
 from celeryturn.forwarding import shared_state
-from celeryturn.forwarding.request_log import log_dropped_lines
+from celeryturn.forwarding.limited_log import log_dropped_lines
 from celeryturn.forwarding.request_rates import update_rates
 from celeryturn.forwarding.shared_state import SharedState
+from celeryturn.forwarding.suspect_requests import report_resolved
 from celeryturn.forwarding.target_pools import prune_pools
 
 HOUSEKEEPING_INTERVAL_SECONDS: Final = 0.25
@@ -28,4 +29,5 @@
         directory.drop_expired(shared.directory, now_seconds)
         prune_pools(shared, now_seconds - MAX_IDLE_SECONDS)
         update_rates(shared)
+        report_resolved(shared)
         log_dropped_lines(shared)
--- a/celeryturn/forwarding/metrics.py
+++ b/celeryturn/forwarding/metrics.py
@@ -1,5 +1,6 @@
 """Metrics of forwarded requests, in the Prometheus text format."""
 
+from collections import Counter as Counts
 from typing import Final
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
@@ -8,6 +9,7 @@
 from celeryturn.decisions.fleet import membership
 from celeryturn.decisions.load import extra_load
 from celeryturn.decisions.load.request_rate import active_limit
+from celeryturn.decisions.request.quarantine import Quarantine, Standing
 from celeryturn.decisions.targets.replicas import Replica
 from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.forwarding import shared_state
@@ -106,6 +108,10 @@
     ('targets_heard', 'Targets that responded within the last second'),
     ('targets_silent', 'Targets that did not respond to what was sent last'),
     ('rate_limited_targets', 'Targets that state a request rate by service'),
+    (
+        'suspect_requests',
+        'Requests under which targets ended, by how they may be sent',
+    ),
     ('target_connections', 'Connections to targets by service'),
     ('extra_load_left', 'Extra requests that may be sent now by service'),
     ('requests_under_way', 'Requests that are being forwarded'),
@@ -161,6 +167,7 @@
     gauges['requests_under_way'].set({}, len(shared.in_flight))
     _set_log_gauges(shared.log_state, gauges)
     _set_links(shared, gauges)
+    _set_standings(shared.route_states.quarantine, gauges)
     for service, replicas in shared.directory.replicas.items():
         _set_service(shared, gauges, service, replicas)
     for name, bucket in shared.fleet_share.buckets.items():
@@ -206,6 +213,17 @@
     gauges['targets_silent'].set({}, contact.silent_count)
 
 
+def _set_standings(quarantine: Quarantine, gauges: dict[str, Gauge]) -> None:
+    counts = Counts(record.standing for record in quarantine.records.values())
+    for standing in (Standing.SUSPECT, Standing.BLOCKED):
+        _set_gauge(
+            gauges,
+            'suspect_requests',
+            counts[standing],
+            standing=standing.value,
+        )
+
+
 def _set_log_gauges(
     log_state: shared_state.LogState, gauges: dict[str, Gauge]
 ) -> None:
--- a/celeryturn/forwarding/peer_access.py
+++ b/celeryturn/forwarding/peer_access.py
@@ -8,8 +8,13 @@
 from celeryturn.forwarding.leaving_targets import list_leaving, mark_leaving
 from celeryturn.forwarding.request_rates import list_rates, merge_rates
 from celeryturn.forwarding.shared_state import SharedState
+from celeryturn.forwarding.suspect_requests import list_ends, merge_ends
 from celeryturn.instance import Routes
-from celeryturn.peers.messages import LeavingTargets, RequestRates
+from celeryturn.peers.messages import (
+    LeavingTargets,
+    RequestRates,
+    TargetEnds,
+)
 from celeryturn.peers.network import Network, announce_progress, broadcast
 
 
@@ -30,6 +35,9 @@
     shared.callbacks.rates_stated.append(
         lambda stated: broadcast(network, RequestRates(stated))
     )
+    shared.callbacks.ends_reported.append(
+        lambda ends: broadcast(network, TargetEnds(ends))
+    )
 
 
 def _make_access(shared: SharedState) -> Routes:
@@ -57,6 +65,8 @@
         mark_leaving=lambda targets: mark_leaving(shared, targets),
         request_rates=lambda: list_rates(shared),
         merge_rates=lambda told: merge_rates(shared, told),
+        target_ends=lambda: list_ends(shared),
+        merge_ends=lambda told, source: merge_ends(shared, told, source),
     )
 
 
--- a/celeryturn/forwarding/pools.py
+++ b/celeryturn/forwarding/pools.py
@@ -10,16 +10,14 @@
 from typing import Final, NamedTuple, TypeAlias
 
 from celeryturn.clock import boottime_seconds
-from celeryturn.http.client import (
-    Connection,
-    ExchangeError,
-    ReplyFilter,
-    connect,
+from celeryturn.forwarding.exchanges import (
+    Exchange,
+    NotSentError,
+    Outcome,
+    WithdrawnError,
 )
-from celeryturn.http.messages import HttpReply, HttpRequest
+from celeryturn.http.client import Connection, ExchangeError, connect
 
-Outcome: TypeAlias = HttpReply | Exception
-MakeRequest: TypeAlias = Callable[[], HttpRequest]
 # Opens a connection to an address and port, within a number of seconds.
 Connector: TypeAlias = Callable[[str, int, float], Awaitable[Connection]]
 
@@ -29,55 +27,6 @@
 MIN_CONNECTION_SHARE: Final = 2
 
 
-class NotSentError(ConnectionError):
-    """The request was not sent, since no connection could be opened."""
-
-
-class WithdrawnError(NotSentError):
-    """The request was not sent, since the target must get no further ones."""
-
-
-class Exchange:
-    """Request to one target and its reply.
-
-    :param priority: Priority among waiting requests; the lowest number is sent
-        first.
-    :param make_request: Builds the request right before it is written.
-    :param on_end: Called exactly once with the outcome, unless the exchange
-        is cancelled.
-    :param accepts: Returns whether a reply belongs to the request.
-    :param connection: Connection that the request was written to, while the
-        exchange is in flight; None otherwise.
-    :param written_seconds: Time at which the request was written; zero before.
-    :param is_ended: Whether the exchange has an outcome or was cancelled.
-    """
-
-    __slots__ = (
-        'accepts',
-        'connection',
-        'is_ended',
-        'make_request',
-        'on_end',
-        'priority',
-        'written_seconds',
-    )
-
-    def __init__(
-        self,
-        priority: float,
-        make_request: MakeRequest,
-        on_end: Callable[['Exchange', Outcome], None],
-        accepts: ReplyFilter,
-    ) -> None:
-        self.priority = priority
-        self.make_request = make_request
-        self.on_end = on_end
-        self.accepts = accepts
-        self.connection: Connection | None = None
-        self.written_seconds = 0.0
-        self.is_ended = False
-
-
 class IdleConnection(NamedTuple):
     """Connection without an exchange.
 
@@ -220,6 +169,33 @@
     pool.idle.clear()
 
 
+def has_open_idle(pool: Pool) -> bool:
+    """Return whether any idle connection is open.
+
+    :param pool: Connections to the target.
+    :returns: Whether the target has not closed all of them, as it does when it
+        ends.
+    """
+    return any(idle.connection.is_idle for idle in pool.idle)
+
+
+def add_connection(pool: Pool, connection: Connection) -> None:
+    """Add a connection that was opened for another purpose.
+
+    :param pool: Connections to the target.
+    :param connection: An idle connection; it is closed if the pool has no room.
+    """
+    if pool.connection_count >= _max_connections(pool):
+        connection.close()
+        return
+    pool.connection_count += 1
+    _use_or_keep(pool, connection)
+
+
+def _max_connections(pool: Pool) -> int:
+    return max(pool.connection_share, MIN_CONNECTION_SHARE)
+
+
 def _dispatch(pool: Pool) -> None:
     while _has_waiting(pool):
         connection = _take_idle(pool)
@@ -246,9 +222,7 @@
         and boottime_seconds() < pool.reset_backoff_until_seconds
     ):
         return False
-    return pool.connection_count < max(
-        pool.connection_share, MIN_CONNECTION_SHARE
-    )
+    return pool.connection_count < _max_connections(pool)
 
 
 def _start_opening(pool: Pool) -> None:
@@ -270,6 +244,10 @@
         _fail_next_exchange(pool, NotSentError(str(error)))
         return
     _discard_opening_task(pool, task)
+    _use_or_keep(pool, connection)
+
+
+def _use_or_keep(pool: Pool, connection: Connection) -> None:
     if _has_waiting(pool):
         _, _, exchange = heapq.heappop(pool.waiting)
         _write(pool, exchange, connection)
@@ -293,6 +271,7 @@
 
 def _write(pool: Pool, exchange: Exchange, connection: Connection) -> None:
     exchange.connection = connection
+    exchange.opened_seconds = connection.opened_seconds
     exchange.written_seconds = boottime_seconds()
 
     is_new = not connection.reply_count
@@ -316,9 +295,7 @@
 
 
 def _keep_idle(pool: Pool, connection: Connection) -> None:
-    is_surplus = pool.connection_count > max(
-        pool.connection_share, MIN_CONNECTION_SHARE
-    )
+    is_surplus = pool.connection_count > _max_connections(pool)
     if is_surplus or not pool.is_open:
         connection.close()
         _forget_connection(pool)
--- a/celeryturn/forwarding/request_log.py
+++ b/celeryturn/forwarding/request_log.py
@@ -2,18 +2,17 @@
 
 from typing import Final, TypedDict
 
-from celeryturn.decisions.load.line_budget import may_write, take_dropped_count
 from celeryturn.decisions.request import legs
 from celeryturn.decisions.request.replies import AttemptOutcome
 from celeryturn.errors import CeleryturnError
 from celeryturn.events import (
     FORWARDED,
     FORWARDED_BADLY,
-    LINES_DROPPED,
     REFUSED,
     log,
 )
 from celeryturn.forwarding import shared_state
+from celeryturn.forwarding.limited_log import may_log
 from celeryturn.forwarding.runner import Runner
 from celeryturn.forwarding.shared_state import SharedState
 from celeryturn.http.messages import HttpRequest
@@ -99,30 +98,6 @@
     )
 
 
-def may_log(shared: SharedState, *, is_important: bool) -> bool:
-    """Take a token for one log line.
-
-    :param shared: Shared state of the instance.
-    :param is_important: Whether the line reports a failure.
-    :returns: Whether the line may be written.
-    """
-    return may_write(
-        shared.log_state.line_budget,
-        shared_state.now(),
-        is_important=is_important,
-    )
-
-
-def log_dropped_lines(shared: SharedState) -> None:
-    """Log the number of dropped log lines, if any were dropped.
-
-    :param shared: Shared state of the instance.
-    """
-    dropped_count = take_dropped_count(shared.log_state.line_budget)
-    if dropped_count:
-        log(LINES_DROPPED, count=dropped_count)
-
-
 def _notable_legs(runner: Runner) -> list[LegRecord]:
     # Legs whose only attempt succeeded in time do not explain a failure or
     # a delay.
--- /dev/null
+++ b/celeryturn/forwarding/request_view.py
@@ -0,0 +1,48 @@
+"""What the decisions on a forwarded request take into account."""
+
+from celeryturn.decisions.request import legs
+from celeryturn.decisions.request.fingerprint import Fingerprint
+from celeryturn.decisions.request.pacing import hedge_delay_seconds
+from celeryturn.decisions.request.quarantine import (
+    find_standing,
+    suspect_services,
+)
+from celeryturn.decisions.request.route_table import Route
+from celeryturn.decisions.targets import directory
+from celeryturn.forwarding import extra_load_access
+from celeryturn.forwarding.observations import get_expected_latency
+from celeryturn.forwarding.shared_state import SharedState, now
+
+
+def make_view(
+    shared: SharedState, route: Route, plan: legs.Plan, fingerprint: Fingerprint
+) -> legs.View:
+    """Collect the inputs of the next decision on a request.
+
+    :param shared: Shared state of the instance.
+    :param route: Route of the request.
+    :param plan: Parameters of the request.
+    :param fingerprint: Fingerprint of the request.
+    :returns: The inputs.
+    """
+    now_seconds = now()
+    expected_latency = get_expected_latency(shared, route)
+    quarantine = shared.route_states.quarantine
+    return legs.View(
+        now_seconds=now_seconds,
+        serving=lambda name: directory.serving_replicas(shared.directory, name),
+        expected_latency=expected_latency,
+        hedge_delay_seconds=hedge_delay_seconds(
+            expected_latency, plan.due_seconds - now_seconds
+        ),
+        zone=shared.instance.settings.availability_zone,
+        random=shared.instance.random,
+        spend=lambda name, share: extra_load_access.spend_extra_load(
+            shared, name, share
+        ),
+        is_extra_load_low=lambda name: extra_load_access.is_extra_load_low(
+            shared, name
+        ),
+        standing=find_standing(quarantine, fingerprint),
+        suspect_services=suspect_services(quarantine, fingerprint),
+    )
--- /dev/null
+++ b/celeryturn/forwarding/route_states.py
@@ -0,0 +1,33 @@
+"""What an instance observes of routes and of their requests."""
+
+from celeryturn.decisions.request.caller_timeouts import CallerTimeouts
+from celeryturn.decisions.request.quarantine import Quarantine
+from celeryturn.decisions.request.splitting import Splitter
+from celeryturn.decisions.targets.latency import LatencyWindow
+from celeryturn.forwarding.examinations import Examinations
+
+
+class RouteStates:
+    """What an instance observes of routes and of their requests.
+
+    :param latencies: Observed latencies of targets by route.
+    :param splitter: State of the routes that are split over services.
+    :param caller_timeouts: Timeouts that callers report, by route.
+    :param quarantine: Requests under which targets ended.
+    :param examinations: Targets that are examined, since replies were lost.
+    """
+
+    __slots__ = (
+        'caller_timeouts',
+        'examinations',
+        'latencies',
+        'quarantine',
+        'splitter',
+    )
+
+    def __init__(self, now_seconds: float) -> None:
+        self.latencies: dict[str, LatencyWindow] = {}
+        self.splitter = Splitter()
+        self.caller_timeouts: dict[str, CallerTimeouts] = {}
+        self.quarantine = Quarantine(now_seconds)
+        self.examinations = Examinations()
--- a/celeryturn/forwarding/runner.py
+++ b/celeryturn/forwarding/runner.py
@@ -1,95 +1,41 @@
 """Perform the actions that are decided for one forwarded request."""
 
 import asyncio
-from typing import Final, NamedTuple
+from typing import Final
 
 from celeryturn.decisions.request import legs, sharded
-from celeryturn.decisions.request.fingerprint import Fingerprint
-from celeryturn.decisions.request.pacing import (
-    estimate_latency,
-    hedge_delay_seconds,
-)
-from celeryturn.decisions.request.replies import AttemptOutcome, TargetReply
-from celeryturn.decisions.request.route_table import Route
-from celeryturn.decisions.targets import (
-    directory,
-    latency,
-    reachability,
-    replicas,
-)
+from celeryturn.decisions.request.lost_replies import LostReply
+from celeryturn.decisions.request.replies import TargetReply
 from celeryturn.forwarding import extra_load_access, shared_state
-from celeryturn.forwarding.leaving_targets import announce_leaving
-from celeryturn.forwarding.pools import (
+from celeryturn.forwarding.exchanges import (
     Exchange,
-    NotSentError,
     Outcome,
     WithdrawnError,
-    cancel,
-    drop_idle,
-    reject_waiting,
-    submit,
 )
-from celeryturn.forwarding.request_rates import observe_rate
+from celeryturn.forwarding.observations import (
+    observe_cancelled,
+    observe_reply,
+)
+from celeryturn.forwarding.outcomes import read_outcome
+from celeryturn.forwarding.pools import cancel, submit
+from celeryturn.forwarding.request_context import (
+    AttemptRecord,
+    RequestContext,
+)
+from celeryturn.forwarding.request_view import make_view
 from celeryturn.forwarding.shared_state import SharedState
+from celeryturn.forwarding.suspect_requests import observe_survival
+from celeryturn.forwarding.target_ends import examine
 from celeryturn.forwarding.target_pools import get_pool
 from celeryturn.http.messages import HttpReply, HttpRequest
 from celeryturn.http.reply_memory import REPLY_MEMORY, hold, release
 from celeryturn.platform import wire
 from celeryturn.timer import Timer
 
-DROP_IDLE_STALL_FACTOR: Final = 3.0
 RELAYED_RANK: Final = 0.5
 MIN_TIMER_SECONDS: Final = 0.0005
 
 
-class RequestContext(NamedTuple):
-    """Request of a caller with its route and plan.
-
-    :param request: Request to send, without the headers that depend on the
-        target and the attempt.
-    :param route: Route of the request.
-    :param plan: Parameters of the request, fixed at its admission.
-    :param fingerprint: Fingerprint of the request, equal each time that it is
-        sent.
-    :param is_relayed: Whether it is served for a peer; it then waits behind the
-        requests of own callers of the same priority.
-    """
-
-    request: HttpRequest
-    route: Route
-    plan: legs.Plan
-    fingerprint: Fingerprint
-    is_relayed: bool = False
-
-
-class AttemptRecord:
-    """Record of one attempt, for logs and metrics.
-
-    :param leg_position: Index of its leg in the request.
-    :param target: Identifier of the target.
-    :param sent_seconds: Time at which the send was decided.
-    :param ended_seconds: Time at which the attempt ended; zero if it is in
-        flight or was cancelled.
-    :param outcome: Value of the :class:`AttemptOutcome`, or ``given up`` if
-        the attempt has not ended or was cancelled.
-    """
-
-    __slots__ = (
-        'ended_seconds',
-        'leg_position',
-        'outcome',
-        'sent_seconds',
-        'target',
-    )
-
-    def __init__(self, attempt: legs.Attempt) -> None:
-        self.leg_position = attempt.leg_position
-        self.target = attempt.replica.entry.target
-        self.sent_seconds = attempt.sent_seconds
-        self.ended_seconds = 0.0
-        self.outcome = 'given up'
-
-
 class Runner:
     """Runs one forwarded request by performing the decided actions.
 
@@ -135,6 +81,11 @@
             asyncio.get_running_loop().create_future()
         )
 
+    @property
+    def is_single(self) -> bool:
+        """Whether the request has a single leg."""
+        return len(self.context.plan.services) == 1
+
     async def run(self) -> legs.ShardedRequest:
         """Run the request to its end.
 
@@ -160,19 +111,6 @@
         self.is_withdrawn = True
         self.stop()
 
-    def expected_latency(self, now_seconds: float) -> replicas.ExpectedLatency:
-        """Estimate the expected latencies of the route.
-
-        :param now_seconds: Current time.
-        :returns: Typical and slow latency, and the time without a response
-            that suggests a stall.
-        """
-        return estimate_latency(
-            self._latency_window(now_seconds),
-            self.context.route.objective_seconds,
-            now_seconds,
-        )
-
     def _apply(self, actions: legs.Actions) -> None:
         for action in actions:
             match action:
@@ -236,25 +174,9 @@
         replica.pending.pop(id(exchange), None)
         pool = get_pool(self.shared, replica)
         cancel(pool, exchange)
-        reachability.observe_unanswered(
-            replica, attempt.sent_seconds, shared_state.now()
-        )
-        if not exchange.written_seconds:
-            return
-        self.has_cancelled = True
-        now_seconds = shared_state.now()
-        expected_latency = self.expected_latency(now_seconds)
-        waited_seconds = now_seconds - exchange.written_seconds
-        replicas.observe_no_response(
-            replica, waited_seconds, expected_latency, now_seconds
-        )
-        if (
-            waited_seconds
-            > DROP_IDLE_STALL_FACTOR * expected_latency.stall_seconds
-        ):
-            # Established connections may remain without any response while
-            # new ones work.
-            drop_idle(pool, exchange.written_seconds)
+        observe_cancelled(self.shared, self.context.route, attempt, exchange)
+        if exchange.written_seconds:
+            self.has_cancelled = True
 
     def _on_end(
         self, attempt: legs.Attempt, exchange: Exchange, outcome: Outcome
@@ -267,133 +189,59 @@
         record.ended_seconds = shared_state.now()
         record.outcome = reply.attempt_outcome.value
         if not isinstance(outcome, WithdrawnError):
-            self._observe_reply(replica, exchange, reply)
+            self._observe(attempt, exchange, reply)
+        if reply.may_have_ended:
+            self._examine(attempt)
         view = self._view()
         self._apply(sharded.on_reply(self.state, attempt.number, reply, view))
 
+    def _observe(
+        self, attempt: legs.Attempt, exchange: Exchange, reply: TargetReply
+    ) -> None:
+        context = self.context
+        replica = attempt.replica
+        observe_reply(self.shared, context.route, replica, exchange, reply)
+        observe_survival(
+            self.shared,
+            context.fingerprint,
+            replica,
+            exchange,
+            reply.attempt_outcome,
+        )
+
+    def _examine(self, attempt: legs.Attempt) -> None:
+        replica = attempt.replica
+        lost = LostReply(
+            self.context.fingerprint,
+            replica.entry.service,
+            self.state,
+            attempt.leg_position,
+        )
+
+        def on_known() -> None:
+            view = self._view()
+            self._apply(sharded.on_verified(self.state, attempt.number, view))
+
+        examine(self.shared, replica, lost, on_known)
+
     def _read_reply(
         self, attempt: legs.Attempt, outcome: Outcome
     ) -> TargetReply:
-        if isinstance(outcome, NotSentError):
-            return TargetReply(AttemptOutcome.NOT_SENT)
-        if isinstance(outcome, Exception):
-            return TargetReply(AttemptOutcome.LOST)
-        reply = wire.read_reply(outcome)
+        target = attempt.replica.entry.target
+        reply = read_outcome(self.shared, target, outcome)
         self.held_bytes += len(reply.body)
         hold(REPLY_MEMORY, len(reply.body))
-        for text in wire.ignored_reply_texts(outcome):
-            target = attempt.replica.entry.target
-            shared_state.log_ignored_header(self.shared, target, text)
-        shared_state.log_unknown_headers(
-            self.shared,
-            attempt.replica.entry.target,
-            wire.unknown_reply_headers(outcome),
-        )
-        if len(self.context.plan.services) == 1:
+        if isinstance(outcome, HttpReply) and self.is_single:
             self.replies[reply.signature] = outcome
         return reply
 
-    def _observe_reply(
-        self, replica: replicas.Replica, exchange: Exchange, reply: TargetReply
-    ) -> None:
-        now_seconds = shared_state.now()
-        if reply.attempt_outcome in _BROKEN_OUTCOMES:
-            reachability.observe_connection_failure(replica, now_seconds)
-        self._observe_refusal(replica, reply, now_seconds)
-        if reply.attempt_outcome in _VALID_OUTCOMES:
-            observe_rate(
-                self.shared,
-                replica,
-                reply.rate_limit_per_second,
-                exchange.written_seconds,
-            )
-        if reply.load is not None:
-            replicas.observe_load(replica, reply.load, now_seconds)
-        if reply.attempt_outcome in _RESPONSE_OUTCOMES:
-            replicas.observe_response(replica, now_seconds)
-        if reply.attempt_outcome is AttemptOutcome.SUCCEEDED:
-            waited_seconds = now_seconds - exchange.written_seconds
-            expected_latency = self.expected_latency(now_seconds)
-            replicas.observe_latency(
-                replica, waited_seconds, expected_latency, now_seconds
-            )
-            window = self._latency_window(now_seconds)
-            latency.record(window, waited_seconds, now_seconds)
-        elif reply.attempt_outcome in _UNREACHABLE_OUTCOMES:
-            replicas.observe_unreachable(replica, now_seconds)
-        else:
-            replicas.observe_failure(replica, now_seconds)
-
-    def _observe_refusal(
-        self, replica: replicas.Replica, reply: TargetReply, now_seconds: float
-    ) -> None:
-        # The reply of another target at the address says nothing about this
-        # one.
-        if reply.attempt_outcome is AttemptOutcome.WRONG_TARGET:
-            return
-        if reply.is_leaving:
-            announce_leaving(self.shared, replica)
-        if reply.retry_after_seconds:
-            replicas.observe_retry_after(
-                replica, reply.retry_after_seconds, now_seconds
-            )
-            reject_waiting(get_pool(self.shared, replica))
-
-    def _latency_window(self, now_seconds: float) -> latency.LatencyWindow:
-        latencies = self.shared.route_states.latencies
-        name = self.context.route.name
-        window = latencies.get(name)
-        if window is None:
-            window = latency.LatencyWindow(now_seconds)
-            latencies[name] = window
-        return window
-
-    def _hedge_delay_seconds(
-        self, expected_latency: replicas.ExpectedLatency
-    ) -> float:
-        remaining_seconds = self.context.plan.due_seconds - shared_state.now()
-        return hedge_delay_seconds(expected_latency, remaining_seconds)
-
     def _view(self) -> legs.View:
-        shared = self.shared
-        now_seconds = shared_state.now()
-        expected_latency = self.expected_latency(now_seconds)
-        return legs.View(
-            now_seconds=now_seconds,
-            serving=lambda name: directory.serving_replicas(
-                shared.directory, name
-            ),
-            expected_latency=expected_latency,
-            hedge_delay_seconds=self._hedge_delay_seconds(expected_latency),
-            zone=shared.instance.settings.availability_zone,
-            random=shared.instance.random,
-            spend=lambda name, share: extra_load_access.spend_extra_load(
-                shared, name, share
-            ),
-            is_extra_load_low=lambda name: extra_load_access.is_extra_load_low(
-                shared, name
-            ),
+        context = self.context
+        return make_view(
+            self.shared, context.route, context.plan, context.fingerprint
         )
 
 
-# A success is observed together with its latency.
-_RESPONSE_OUTCOMES: Final = frozenset(
-    (AttemptOutcome.FAILED, AttemptOutcome.SHED, AttemptOutcome.UNUSABLE)
-)
-# Replies that the target itself made, complete and unspoiled.
-_VALID_OUTCOMES: Final = frozenset(
-    (AttemptOutcome.SUCCEEDED, AttemptOutcome.FAILED, AttemptOutcome.SHED)
-)
-# The connection could not be opened, or broke off.
-_BROKEN_OUTCOMES: Final = frozenset(
-    (AttemptOutcome.NOT_SENT, AttemptOutcome.LOST)
-)
-# No process or another target listens at the address of the target.
-_UNREACHABLE_OUTCOMES: Final = frozenset(
-    (AttemptOutcome.NOT_SENT, AttemptOutcome.WRONG_TARGET)
-)
-
-
 def may_have_run(runner: Runner) -> bool:
     """Return whether any target may have run the request.
 
--- a/celeryturn/forwarding/shared_state.py
+++ b/celeryturn/forwarding/shared_state.py
@@ -4,30 +4,21 @@
 
 from celeryturn.clock import boottime_seconds
 from celeryturn.decisions.load.fleet_share import FleetShare
-from celeryturn.decisions.load.line_budget import LineBudget, may_write
-from celeryturn.decisions.request.caller_timeouts import CallerTimeouts
+from celeryturn.decisions.load.line_budget import LineBudget
 from celeryturn.decisions.request.route_table import RouteTable, is_newer
-from celeryturn.decisions.request.splitting import Splitter
 from celeryturn.decisions.targets.directory import Directory
-from celeryturn.decisions.targets.latency import LatencyWindow
 from celeryturn.decisions.targets.reachability import TargetLinks
 from celeryturn.errors import CeleryturnError
-from celeryturn.events import (
-    HEADER_IGNORED,
-    HEADER_UNKNOWN,
-    NOT_ADOPTED,
-    TABLE_ADOPTED,
-    log,
-)
+from celeryturn.events import NOT_ADOPTED, TABLE_ADOPTED, log
 from celeryturn.forwarding.callbacks import Callbacks
 from celeryturn.forwarding.pools import Connector, Pool
+from celeryturn.forwarding.route_states import RouteStates
 from celeryturn.forwarding.settings import ForwardingSettings
 from celeryturn.forwarding.store_progress import StoreProgress
 from celeryturn.http.client import connect
 from celeryturn.instance import Instance
 from celeryturn.platform.documents import decode_table
 
-MAX_LOGGED_CHARACTERS: Final = 40
 MAX_UNKNOWN_HEADERS: Final = 64
 
 
@@ -56,22 +47,6 @@
         self.unknown_headers: set[str] = set()
 
 
-class RouteStates:
-    """What an instance observes of each route.
-
-    :param latencies: Observed latencies of targets by route.
-    :param splitter: State of the routes that are split over services.
-    :param caller_timeouts: Timeouts that callers report, by route.
-    """
-
-    __slots__ = ('caller_timeouts', 'latencies', 'splitter')
-
-    def __init__(self) -> None:
-        self.latencies: dict[str, LatencyWindow] = {}
-        self.splitter = Splitter()
-        self.caller_timeouts: dict[str, CallerTimeouts] = {}
-
-
 class SharedState:
     """State that the parts of a forwarding instance share.
 
@@ -104,7 +79,7 @@
         self.connect_target: Connector = connect
         self.links = TargetLinks(now())
         self.fleet_share = FleetShare(instance.membership, now())
-        self.route_states = RouteStates()
+        self.route_states = RouteStates(now())
         self.callbacks = Callbacks()
         self.in_flight: set[Stoppable] = set()
         self.is_refusing = False
@@ -172,42 +147,6 @@
     return shared.table.version if shared.table else 0
 
 
-def log_ignored_header(
-    shared: SharedState, sender: str, text: str | None
-) -> None:
-    """Count and log a header that was ignored, if there is one.
-
-    :param shared: Shared state of the instance.
-    :param sender: Attempt identifier of the caller's request, or identifier
-        of the target.
-    :param text: Text of the header, of which the start is logged; ``None`` if
-        there is no such header.
-    """
-    if text is None:
-        return
-    shared.log_state.ignored_header_count += 1
-    if may_write(shared.log_state.line_budget, now(), is_important=True):
-        log(HEADER_IGNORED, sender=sender, text=text[:MAX_LOGGED_CHARACTERS])
-
-
-def log_unknown_headers(
-    shared: SharedState, sender: str, names: set[str]
-) -> None:
-    """Log headers that this build does not know, each name once.
-
-    :param shared: Shared state of the instance.
-    :param sender: Identifier of the target.
-    :param names: Names of the headers of a reply.
-    """
-    known = shared.log_state.unknown_headers
-    for name in sorted(names - known):
-        if len(known) < MAX_UNKNOWN_HEADERS:
-            known.add(name)
-            log(
-                HEADER_UNKNOWN, sender=sender, name=name[:MAX_LOGGED_CHARACTERS]
-            )
-
-
 def now() -> float:
     """Read the clock that all parts of a forwarding instance use.
 
--- /dev/null
+++ b/celeryturn/forwarding/suspect_requests.py
@@ -0,0 +1,191 @@
+"""Requests under which targets ended: refuse them, and exchange with peers."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from celeryturn.decisions.request import quarantine, trials
+from celeryturn.decisions.request.fingerprint import Fingerprint
+from celeryturn.decisions.request.lost_replies import (
+    forget_survived,
+    take_resolved,
+)
+from celeryturn.decisions.request.quarantine import (
+    Record,
+    Standing,
+    TargetEnd,
+    find_standing,
+)
+from celeryturn.decisions.request.replies import AttemptOutcome
+from celeryturn.decisions.targets.departures import TargetIncarnation
+from celeryturn.decisions.targets.replicas import Replica
+from celeryturn.errors import CeleryturnError, Kind
+from celeryturn.events import REQUEST_STANDING, log
+from celeryturn.forwarding.exchanges import Exchange
+from celeryturn.forwarding.limited_log import may_log
+from celeryturn.forwarding.shared_state import SharedState, now
+
+OWN_OBSERVATION: Final = ''
+_SURVIVED: Final = frozenset((AttemptOutcome.SUCCEEDED, AttemptOutcome.FAILED))
+
+
+def require_allowed(
+    shared: SharedState, fingerprint: Fingerprint, trial_seconds: float
+) -> bool:
+    """Refuse a request that ends targets, except for a trial of it.
+
+    :param shared: Shared state of the instance.
+    :param fingerprint: Fingerprint of the request.
+    :param trial_seconds: Time that a trial may take.
+    :returns: Whether this request is a trial.
+    :raises CeleryturnError: ``ends_targets`` if it may not be sent.
+    """
+    record = shared.route_states.quarantine.records.get(fingerprint)
+    if record is None or record.standing is not Standing.BLOCKED:
+        return False
+    now_seconds = now()
+    if _begin_trial(shared, fingerprint, record, now_seconds + trial_seconds):
+        return True
+    record.refused_count += 1
+    raise CeleryturnError(
+        Kind.ENDS_TARGETS,
+        f'{len(tuple(quarantine.counted_ends(record)))} targets ended under the'
+        f' request with fingerprint {fingerprint.hex()}',
+        retry_after_seconds=trials.retry_after_seconds(record, now_seconds),
+    )
+
+
+def _begin_trial(
+    shared: SharedState,
+    fingerprint: Fingerprint,
+    record: Record,
+    until_seconds: float,
+) -> bool:
+    if not trials.is_trial_due(record, now()):
+        return False
+    known = shared.instance.membership
+    if not trials.makes_trial(known.own, known.members.values(), fingerprint):
+        return False
+    record.trial_until_seconds = until_seconds
+    return True
+
+
+def report_ends(shared: SharedState, ends: Iterable[TargetEnd]) -> None:
+    """Record ends that this instance has observed, and tell the peers.
+
+    :param shared: Shared state of the instance.
+    :param ends: The ends.
+    """
+    _tell(shared, merge_ends(shared, ends, OWN_OBSERVATION))
+
+
+def report_resolved(shared: SharedState) -> None:
+    """Record the ends that the list of targets confirms; forget old ones.
+
+    :param shared: Shared state of the instance.
+    """
+    unresolved = shared.route_states.examinations.unresolved
+    if unresolved:
+        report_ends(shared, take_resolved(unresolved, shared.directory, now()))
+    quarantine.prune(shared.route_states.quarantine, now())
+
+
+def merge_ends(
+    shared: SharedState, ends: Iterable[TargetEnd], source: str
+) -> list[TargetEnd]:
+    """Record ends.
+
+    :param shared: Shared state of the instance.
+    :param ends: Ends that were observed, or that a peer tells.
+    :param source: Name of the peer, for the log; empty for none.
+    :returns: Those that were not known, or not with this mark.
+    """
+    told = tuple(ends)
+    before = {
+        end.fingerprint: find_standing(
+            shared.route_states.quarantine, end.fingerprint
+        )
+        for end in told
+    }
+    changed = quarantine.merge_ends(shared.route_states.quarantine, told, now())
+    for fingerprint, standing in before.items():
+        _log_change(shared, fingerprint, standing, source)
+    return changed
+
+
+def observe_survival(
+    shared: SharedState,
+    fingerprint: Fingerprint,
+    replica: Replica,
+    exchange: Exchange,
+    outcome: AttemptOutcome,
+) -> None:
+    """Record what a reply shows: its target runs, and may have survived.
+
+    :param shared: Shared state of the instance.
+    :param fingerprint: Fingerprint of the request.
+    :param replica: Target that replied.
+    :param exchange: The exchange, which has ended.
+    :param outcome: Outcome of the attempt.
+    """
+    known = shared.route_states.quarantine
+    entry = replica.entry
+    if outcome in _SURVIVED and shared.route_states.examinations.unresolved:
+        forget_survived(
+            shared.route_states.examinations.unresolved,
+            fingerprint,
+            entry.service,
+        )
+    if not known.records:
+        return
+    cleared = quarantine.refute(
+        known,
+        TargetIncarnation(entry.target, entry.born_ms),
+        exchange.opened_seconds,
+        exchange.written_seconds,
+        now(),
+    )
+    if outcome in _SURVIVED:
+        cleared.extend(
+            quarantine.record_survival(known, fingerprint, entry.service, now())
+        )
+    _tell(shared, cleared)
+
+
+def list_ends(shared: SharedState) -> tuple[TargetEnd, ...]:
+    """List the known ends, for a peer on a new link.
+
+    :param shared: Shared state of the instance.
+    :returns: The ends.
+    """
+    return quarantine.list_ends(shared.route_states.quarantine, now())
+
+
+def _tell(shared: SharedState, changed: list[TargetEnd]) -> None:
+    if changed:
+        for callback in shared.callbacks.ends_reported:
+            callback(tuple(changed))
+
+
+def _log_change(
+    shared: SharedState,
+    fingerprint: Fingerprint,
+    before: Standing,
+    source: str,
+) -> None:
+    record = shared.route_states.quarantine.records.get(fingerprint)
+    if record is None or record.standing is before:
+        return
+    is_blocked = record.standing is Standing.BLOCKED
+    if is_blocked or may_log(shared, is_important=True):
+        log(
+            REQUEST_STANDING,
+            fingerprint=fingerprint.hex(),
+            standing=record.standing.value,
+            targets=[
+                incarnation.target
+                for incarnation, end in record.ends.items()
+                if end.mark is not quarantine.Mark.CLEARED
+            ],
+            source=source,
+            refused_count=record.refused_count,
+        )
--- /dev/null
+++ b/celeryturn/forwarding/target_ends.py
@@ -0,0 +1,167 @@
+"""Find out whether targets whose replies were lost have ended."""
+
+import asyncio
+import enum
+from collections.abc import Callable
+from typing import Final
+
+from celeryturn.decisions.request.lost_replies import (
+    LostReply,
+    describe_ends,
+    keep_unresolved,
+)
+from celeryturn.decisions.targets.departures import TargetIncarnation
+from celeryturn.decisions.targets.replicas import Replica
+from celeryturn.events import TARGET_ENDED, log
+from celeryturn.forwarding.examinations import Examination
+from celeryturn.forwarding.limited_log import may_log
+from celeryturn.forwarding.pools import add_connection, has_open_idle
+from celeryturn.forwarding.shared_state import SharedState, now
+from celeryturn.forwarding.suspect_requests import report_ends
+from celeryturn.forwarding.target_pools import get_pool
+from celeryturn.http.client import Connection
+
+# All connections of a target that ends break off within this time.
+SETTLE_SECONDS: Final = 0.002
+PROBE_TIMEOUT_SECONDS: Final = 0.25
+OTHER_TARGET_COUNT: Final = 3
+MAX_LOGGED_FINGERPRINTS: Final = 8
+
+
+class Finding(enum.Enum):
+    """What connections show of a target."""
+
+    RUNS = 'runs'
+    ENDED = 'ended'
+    UNKNOWN = 'unknown'
+
+
+def examine(
+    shared: SharedState,
+    replica: Replica,
+    lost: LostReply,
+    on_known: Callable[[], None],
+) -> None:
+    """Find out whether a target has ended, since a reply of it was lost.
+
+    If it has, all requests whose replies it owed are reported.
+
+    :param shared: Shared state of the instance.
+    :param replica: The target.
+    :param lost: The lost reply.
+    :param on_known: Called when it is known, or when it cannot be.
+    """
+    examinations = shared.route_states.examinations
+    incarnation = _incarnation(replica)
+    running = examinations.running.get(incarnation)
+    if running is None:
+        running = Examination(replica, [], [])
+        examinations.running[incarnation] = running
+        examinations.queue.put_nowait(running)
+    running.replies.append(lost)
+    running.callbacks.append(on_known)
+
+
+async def examine_targets(shared: SharedState) -> None:
+    """Examine targets until cancelled.
+
+    :param shared: Shared state of the instance.
+    """
+    async with asyncio.TaskGroup() as group:
+        while True:
+            examination = await shared.route_states.examinations.queue.get()
+            group.create_task(_examine(shared, examination))
+
+
+async def _examine(shared: SharedState, examination: Examination) -> None:
+    incarnation = _incarnation(examination.replica)
+    try:
+        finding = await _find_out(shared, examination.replica)
+    finally:
+        shared.route_states.examinations.running.pop(incarnation, None)
+    ends = describe_ends(incarnation, examination.replies)
+    if finding is Finding.ENDED:
+        _log_end(shared, incarnation, examination)
+        report_ends(shared, ends)
+    elif finding is Finding.UNKNOWN:
+        keep_unresolved(
+            shared.route_states.examinations.unresolved, ends, now()
+        )
+    for callback in examination.callbacks:
+        callback()
+
+
+async def _find_out(shared: SharedState, replica: Replica) -> Finding:
+    await asyncio.sleep(SETTLE_SECONDS)
+    pool = get_pool(shared, replica)
+    if has_open_idle(pool):
+        return Finding.RUNS
+    try:
+        connection = await _connect(shared, replica)
+    except ConnectionRefusedError:
+        return await _judge_refusal(shared, replica)
+    except OSError:
+        return Finding.UNKNOWN
+    add_connection(pool, connection)
+    return Finding.RUNS
+
+
+async def _judge_refusal(shared: SharedState, replica: Replica) -> Finding:
+    # If no target can be reached, the links of this instance may be to blame.
+    others = _choose_others(shared, replica)
+    reached = await asyncio.gather(
+        *(_accepts(shared, other) for other in others)
+    )
+    return Finding.ENDED if any(reached) else Finding.UNKNOWN
+
+
+def _choose_others(shared: SharedState, replica: Replica) -> list[Replica]:
+    others = [
+        other
+        for replicas in shared.directory.replicas.values()
+        for other in replicas.values()
+        if other is not replica
+    ]
+    offset = int(shared.instance.random() * len(others))
+    rotated = others[offset:] + others[:offset]
+    # The one that was heard last is the most likely to accept.
+    rotated.sort(key=lambda other: other.last_reply_seconds, reverse=True)
+    return rotated[:OTHER_TARGET_COUNT]
+
+
+async def _accepts(shared: SharedState, replica: Replica) -> bool:
+    try:
+        connection = await _connect(shared, replica)
+    except OSError:
+        return False
+    add_connection(get_pool(shared, replica), connection)
+    return True
+
+
+async def _connect(shared: SharedState, replica: Replica) -> Connection:
+    entry = replica.entry
+    async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+        return await shared.connect_target(
+            entry.address, entry.port, PROBE_TIMEOUT_SECONDS
+        )
+
+
+def _incarnation(replica: Replica) -> TargetIncarnation:
+    return TargetIncarnation(replica.entry.target, replica.entry.born_ms)
+
+
+def _log_end(
+    shared: SharedState,
+    incarnation: TargetIncarnation,
+    examination: Examination,
+) -> None:
+    if not may_log(shared, is_important=True):
+        return
+    fingerprints = {lost.fingerprint.hex() for lost in examination.replies}
+    log(
+        TARGET_ENDED,
+        target=incarnation.target,
+        born_ms=incarnation.born_ms,
+        request_count=len(examination.replies),
+        fingerprints=sorted(fingerprints)[:MAX_LOGGED_FINGERPRINTS],
+    )
--- a/celeryturn/http/client.py
+++ b/celeryturn/http/client.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from celeryturn.clock import boottime_seconds
 from celeryturn.http.incoming_reply import (
     IncomingReply,
     append_chunk,
@@ -41,10 +42,15 @@
     """The connection ended or violated HTTP before a complete reply."""
 
 
+class BrokenOffError(ExchangeError):
+    """The connection ended before a complete reply."""
+
+
 class Connection(asyncio.Protocol):
     """A client connection that is reused only after complete exchanges.
 
     :param is_open: Whether the transport is open and may be used.
+    :param opened_seconds: Time at which it was opened.
     :param idle_seconds: Idle timeout of the server, from the ``Keep-Alive``
         header of its last reply; infinite if not stated.
     :param reply_count: Complete replies after which the connection could be
@@ -53,6 +59,7 @@
 
     def __init__(self, host: str) -> None:
         self.is_open = False
+        self.opened_seconds = 0.0
         self.idle_seconds = math.inf
         self.reply_count = 0
         self._host = host
@@ -75,13 +82,14 @@
         """Store the transport."""
         if isinstance(transport, asyncio.Transport):
             self._transport = transport
+            self.opened_seconds = boottime_seconds()
             self.is_open = True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange in flight, if any."""
         self.is_open = False
         self._timer.disarm()
-        self._complete(ExchangeError(f'connection lost: {exc}'))
+        self._complete(BrokenOffError(f'connection lost: {exc}'))
         if self._on_closed is not None:
             self._on_closed()
             self._on_closed = None
@@ -95,7 +103,9 @@
         try:
             self._read_events()
         except h11.RemoteProtocolError as error:
-            self._fail(f'not valid HTTP: {error}')
+            # Without further bytes, the reply is not wrong but incomplete.
+            error_type = ExchangeError if chunk else BrokenOffError
+            self._fail(error_type(f'not valid HTTP: {error}'))
 
     def eof_received(self) -> None:
         """Signal the end of the data to the parser."""
@@ -220,13 +230,13 @@
             self._finish_reply()
             return False
         elif isinstance(event, h11.ConnectionClosed):
-            self._fail('connection closed by the server')
+            self._fail(BrokenOffError('connection closed by the server'))
             return False
         return event is not h11.NEED_DATA and event is not h11.PAUSED
 
     def _may_continue(self, fault: str) -> bool:
         if fault:
-            self._fail(fault)
+            self._fail(ExchangeError(fault))
         return not fault
 
     def _begin_reply(self, event: h11.Response) -> None:
@@ -283,11 +293,11 @@
             if self._transport is not None:
                 self._transport.abort()
 
-    def _fail(self, detail: str) -> None:
+    def _fail(self, error: ExchangeError) -> None:
         self.is_open = False
         if self._transport is not None:
             self._transport.abort()
-        self._complete(ExchangeError(detail))
+        self._complete(error)
 
     def _complete(self, outcome: HttpReply | Exception) -> None:
         on_done = self._on_done
--- a/celeryturn/instance.py
+++ b/celeryturn/instance.py
@@ -14,6 +14,7 @@
 )
 from celeryturn.decisions.configuration.freshness import Freshness
 from celeryturn.decisions.fleet import membership
+from celeryturn.decisions.request.quarantine import TargetEnd
 from celeryturn.decisions.store_position import StorePosition
 from celeryturn.decisions.targets.departures import TargetIncarnation
 from celeryturn.decisions.targets.entry_history import EntryUpdate
@@ -59,6 +60,9 @@
         known to be leaving.
     :param request_rates: Returns the request rates that targets last stated.
     :param merge_rates: Records those that a peer tells.
+    :param target_ends: Returns the ends of targets that ran requests.
+    :param merge_ends: Records those that a peer tells, and returns those that
+        were not known; the second argument is its name.
     """
 
     version: Callable[[], int]
@@ -78,6 +82,8 @@
     ]
     request_rates: Callable[[], tuple[StatedRate, ...]]
     merge_rates: Callable[[Iterable[StatedRate]], None]
+    target_ends: Callable[[], tuple[TargetEnd, ...]]
+    merge_ends: Callable[[Iterable[TargetEnd], str], list[TargetEnd]]
 
 
 def _ignore(_received: object) -> None:
@@ -99,6 +105,11 @@
     """Return ``None`` because there is nothing to exchange."""
 
 
+def _ignore_ends(_ends: Iterable[TargetEnd], _source: str) -> list[TargetEnd]:
+    """Return that nothing was new, since no requests are forwarded."""
+    return []
+
+
 NO_ROUTES: Final = Routes(
     version=int,
     body=bytes,
@@ -115,6 +126,8 @@
     mark_leaving=list,
     request_rates=tuple,
     merge_rates=_ignore,
+    target_ends=tuple,
+    merge_ends=_ignore_ends,
 )
 
 
--- a/celeryturn/peers/encoding.py
+++ b/celeryturn/peers/encoding.py
@@ -48,6 +48,7 @@
         20: handover_messages.HandoverReply,
         21: handover_messages.HandoverDecline,
         22: handover_messages.HandoverCancel,
+        23: messages.TargetEnds,
     }
 )
 _CODES_BY_TYPE: Final[Mapping[type[Message], int]] = MappingProxyType(
--- a/celeryturn/peers/messages.py
+++ b/celeryturn/peers/messages.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple, TypeAlias
 
 from celeryturn.decisions.fleet.membership import Member
+from celeryturn.decisions.request.quarantine import TargetEnd
 from celeryturn.decisions.store_position import NO_POSITION, StorePosition
 from celeryturn.decisions.targets.departures import TargetIncarnation
 from celeryturn.decisions.targets.entry_history import EntryUpdate
@@ -211,6 +212,15 @@
     stated: tuple[StatedRate, ...]
 
 
+class TargetEnds(NamedTuple):
+    """Ends of targets that ran requests: all on a new link, then changes.
+
+    :param ends: The ends, each with what it says of the request.
+    """
+
+    ends: tuple[TargetEnd, ...]
+
+
 Message: TypeAlias = (
     Hello
     | Join
@@ -230,5 +240,6 @@
     | TargetList
     | LeavingTargets
     | RequestRates
+    | TargetEnds
     | HandoverMessage
 )
--- a/celeryturn/peers/sessions.py
+++ b/celeryturn/peers/sessions.py
@@ -87,6 +87,9 @@
     rates = instance.routes.request_rates()
     if rates:
         enqueue(link, messages.RequestRates(rates))
+    ends = instance.routes.target_ends()
+    if ends:
+        enqueue(link, messages.TargetEnds(ends))
 
 
 def _count_sent(
@@ -131,6 +134,9 @@
     if isinstance(message, messages.LeavingTargets):
         _merge_leaving_targets(network, link, message)
         return
+    if isinstance(message, messages.TargetEnds):
+        _merge_ends(network, link, message)
+        return
     if isinstance(message, HandoverMessage):
         handle_handover(network.handovers, link, message)
         return
@@ -239,3 +245,11 @@
     marked = network.instance.routes.mark_leaving(message.targets)
     if marked:
         broadcast(network, messages.LeavingTargets(tuple(marked)), link)
+
+
+def _merge_ends(
+    network: Network, link: PeerLink, message: messages.TargetEnds
+) -> None:
+    changed = network.instance.routes.merge_ends(message.ends, link.instance)
+    if changed:
+        broadcast(network, messages.TargetEnds(tuple(changed)), link)
--- a/standins/shard_target.py
+++ b/standins/shard_target.py
@@ -108,6 +108,7 @@
         were in progress.
     :param ending_urls: Paths with query of the requests that end this target
         when it runs them.
+    :param first_bytes: What it sends before such a request ends it.
     :param served_urls: Paths with query of the requests that it ran, in order.
     :param on_ended: Called when a request has ended it.
     """
@@ -125,6 +126,7 @@
         self.received_headers: list[Headers] = []
         self.disconnect_count = 0
         self.ending_urls: frozenset[str] = frozenset()
+        self.first_bytes = b''
         self.served_urls: list[str] = []
         self.on_ended: Callable[[ShardTarget], None] = _ignore
         self._server: asyncio.Server | None = None
@@ -240,6 +242,9 @@
         await self._reply_after_run(headers)
 
     async def _end_target(self) -> None:
+        if self._target.first_bytes:
+            self._writer.write(self._target.first_bytes)
+            await self._writer.drain()
         await self._target.stop()
         self._target.on_ended(self._target)
         raise ConnectionResetError
--- a/tests/steps/ending_requests.py
+++ b/tests/steps/ending_requests.py
@@ -1,21 +1,150 @@
 """Steps on requests that end the targets that run them."""
 
+import asyncio
+import itertools
+
 from behave import given, then, when
 from behave.runner import Context
 
+from celeryturn.decisions.request.fingerprint import compute_fingerprint
+from celeryturn.decisions.request.quarantine import (
+    Quarantine,
+    Standing,
+    find_standing,
+)
+from celeryturn.http.messages import HttpReply
+from standins.shard_target import ShardTarget
 from tests.support.ending import EndingTargets
-from tests.support.routed import caller_request, get_world, run
+from tests.support.routed import (
+    HOST,
+    RoutedWorld,
+    caller_request,
+    get_world,
+    run,
+)
+
+MAX_REQUESTS_BEFORE_BLOCK = 6
+POPULAR_COUNT = 12
+PARTIAL_REPLY = b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart'
+
+
+@given('each target that ends is back later')
+def return_later(context: Context) -> None:
+    """Let targets that end be back later."""
+    context.ending = EndingTargets(get_world(context))
 
 
 @given('each target ends when it runs "{url}", and is back later')
 def end_when_run(context: Context, url: str) -> None:
     """Let a request end every target that runs it."""
-    world = get_world(context)
-    context.ending = EndingTargets(world)
-    for target in world.targets.values():
+    return_later(context)
+    for target in get_world(context).targets.values():
         target.ending_urls = frozenset((url,))
 
 
+@given(
+    'each target ends when it runs "{url}", and is back later under another'
+    ' identifier'
+)
+def end_and_rename(context: Context, url: str) -> None:
+    """Let targets be back as others."""
+    end_when_run(context, url)
+    context.ending.is_renamed = True
+
+
+@given(
+    'each target ends when it runs "{url}", after a part of its reply, and is'
+    ' back later'
+)
+def end_in_reply(context: Context, url: str) -> None:
+    """Let targets send the begin of a reply before they end."""
+    end_when_run(context, url)
+    for target in get_world(context).targets.values():
+        target.first_bytes = PARTIAL_REPLY
+
+
+@given(
+    'each target ends when it runs "{url}", after {milliseconds:d} ms, and is'
+    ' back later'
+)
+def end_after(context: Context, url: str, milliseconds: int) -> None:
+    """Let targets work for a while before they end."""
+    end_when_run(context, url)
+    for target in get_world(context).targets.values():
+        target.delay_seconds = milliseconds / 1000
+
+
+@given('each target of the first shard ends when it runs "{url}"')
+def end_first_shard(context: Context, url: str) -> None:
+    """Let a request end the targets of one shard."""
+    return_later(context)
+    for identifier, target in get_world(context).targets.items():
+        if identifier.startswith('shard-0'):
+            target.ending_urls = frozenset((url,))
+
+
+@when('the targets no longer end')
+def stop_ending(context: Context) -> None:
+    """Let all targets survive all requests."""
+    for target in get_world(context).targets.values():
+        target.ending_urls = frozenset()
+
+
+@when('{seconds:g} s have passed since the last end')
+def pass_since_end(context: Context, seconds: float) -> None:
+    """Move all ends into the past."""
+    for known in _quarantines(context):
+        for record in known.records.values():
+            for end in record.ends.values():
+                end.ended_seconds -= seconds
+
+
+@when('{count:d} targets end in turn, each while it runs popular requests')
+def end_in_turn(context: Context, count: int) -> None:
+    """End targets that run a request, which succeeds elsewhere."""
+    world = get_world(context)
+    names = itertools.cycle(tuple(world.targets))
+
+    async def end_all() -> None:
+        for name in itertools.islice(names, count):
+            await _end_while_popular(context, world.targets[name])
+
+    run(context, end_all())
+
+
+@when('"{url}" is requested until all instances have blocked it')
+def request_until_blocked(context: Context, url: str) -> None:
+    """Send a request again and again, at most as often as may be needed."""
+    world = get_world(context)
+
+    async def send_all() -> None:
+        for number in range(MAX_REQUESTS_BEFORE_BLOCK):
+            instance = number % len(world.applications)
+            await world.send_request(caller_request(url, number), instance)
+            await context.ending.wait_for_return()
+            if _blocked_count(context):
+                break
+        await world.wait_for(
+            lambda: _blocked_count(context) == len(world.applications)
+        )
+        context.ended_count = len(context.ending.ended)
+
+    run(context, send_all())
+
+
+@when('"{url}" is requested {count:d} times, at the first instance')
+def request_at_first(context: Context, url: str, count: int) -> None:
+    """Send a request again and again, each time when all targets are back."""
+    world = get_world(context)
+
+    async def send_all() -> None:
+        for number in range(count):
+            await world.send_request(caller_request(url, number))
+            await context.ending.wait_for_return()
+
+    run(context, send_all())
+
+
 @when('"{url}" is requested {count:d} times, at the instances in turn')
 def request_in_turn(context: Context, url: str, count: int) -> None:
     """Send a request again and again, each time when all targets are back."""
@@ -33,8 +162,112 @@
     run(context, send_all())
 
 
+@when('{count:d} callers at each instance request "{url}" together')
+def request_together(context: Context, count: int, url: str) -> None:
+    """Send requests to all instances at the same time."""
+    world = get_world(context)
+
+    async def send_all() -> None:
+        context.replies = await asyncio.gather(
+            *(
+                world.send_request(caller_request(url, number), instance)
+                for number in range(count)
+                for instance in range(len(world.applications))
+            )
+        )
+
+    run(context, send_all())
+
+
 @then('at most {count:d} targets ended')
 def expect_few_ends(context: Context, count: int) -> None:
     """Check how many targets ended, those that are back included."""
     ended = context.ending.ended
     assert len(ended) <= count, ended
+
+
+@then('no more targets ended')
+def expect_no_more_ends(context: Context) -> None:
+    """Check that none ended since the request was blocked."""
+    ended = context.ending.ended
+    assert len(ended) == context.ended_count, ended
+
+
+@then('each request ran at most once')
+def expect_single_runs(context: Context) -> None:
+    """Check that no identifier of an attempt ran twice."""
+    targets = get_world(context).targets.values()
+    ran = [name for tgt in targets for name in tgt.executed_attempt_ids]
+    assert len(set(ran)) == len(ran), ran
+
+
+@then('no request is blocked at any instance')
+def expect_none_blocked(context: Context) -> None:
+    """Wait until all instances agree that no request is blocked."""
+    world = get_world(context)
+    run(context, world.wait_for(lambda: not _blocked_count(context)))
+
+
+@then('all instances have blocked "{url}"')
+def expect_blocked(context: Context, url: str) -> None:
+    """Wait until each instance has blocked the request."""
+    fingerprint = compute_fingerprint('GET', HOST, url, b'')
+    world = get_world(context)
+    run(
+        context,
+        world.wait_for(
+            lambda: all(
+                find_standing(known, fingerprint) is Standing.BLOCKED
+                for known in _quarantines(context)
+            )
+        ),
+    )
+
+
+@then('the metrics count {count:d} blocked request')
+def expect_metric(context: Context, count: int) -> None:
+    """Check the gauge of blocked requests."""
+    metrics = get_world(context).read_metrics()
+    expected = f'celeryturn_suspect_requests{{standing="blocked"}} {count}'
+    assert expected in metrics, metrics
+
+
+def _quarantines(context: Context) -> list[Quarantine]:
+    return [
+        application.shared.route_states.quarantine
+        for application in get_world(context).applications
+    ]
+
+
+def _blocked_count(context: Context) -> int:
+    return sum(
+        any(
+            record.standing is Standing.BLOCKED
+            for record in known.records.values()
+        )
+        for known in _quarantines(context)
+    )
+
+
+async def _end_while_popular(context: Context, target: ShardTarget) -> None:
+    world = get_world(context)
+    ran_count = len(target.served_urls)
+    sending = asyncio.create_task(_send_popular(world))
+    await world.wait_for(
+        lambda: len(target.served_urls) > ran_count or sending.done()
+    )
+    await context.ending.end(target.identifier)
+    await sending
+    await context.ending.wait_for_return()
+
+
+async def _send_popular(world: RoutedWorld) -> list[HttpReply]:
+    return await asyncio.gather(
+        *(
+            world.send_request(
+                caller_request('/one/popular', number),
+                number % len(world.applications),
+            )
+            for number in range(POPULAR_COUNT)
+        )
+    )
--- a/tests/steps/sharded.py
+++ b/tests/steps/sharded.py
@@ -10,6 +10,10 @@
 
 from celeryturn.decisions.load import extra_load
 from celeryturn.decisions.request import legs, sharded
+from celeryturn.decisions.request.quarantine import (
+    ENDS_BEFORE_BLOCK,
+    Standing,
+)
 from celeryturn.decisions.request.replies import AttemptOutcome, TargetReply
 from celeryturn.decisions.targets.replicas import ExpectedLatency, Replica
 from tests.support.entries import make_entry
@@ -22,11 +26,12 @@
 WINDOW_SECONDS = 10
 SECONDS = 60
 FIRST_HEDGE_SECOND = 20
-VERDICTS = MappingProxyType(
+OUTCOMES = MappingProxyType(
     {
         'fail': AttemptOutcome.FAILED,
         'are shed': AttemptOutcome.SHED,
         'are lost': AttemptOutcome.LOST,
+        'break off': AttemptOutcome.LOST,
         'are not sent': AttemptOutcome.NOT_SENT,
         'succeed': AttemptOutcome.SUCCEEDED,
     }
@@ -81,6 +86,30 @@
     assert context.sent[0].replica.entry.target == f's0-{number}', context.sent
 
 
+@given('targets of shard {shard} have ended under the request before')
+def given_suspect(context: Context, shard: str) -> None:
+    """Let the request be suspect."""
+    context.standing = Standing.SUSPECT
+    context.suspect_services = frozenset((shard,))
+
+
+@given('it is the trial of a blocked request')
+def given_trial(context: Context) -> None:
+    """Let the request be blocked, and this one a trial."""
+    context.standing = Standing.BLOCKED
+    context.request.plan = context.request.plan._replace(is_trial=True)
+
+
+@when('the targets of the attempts {numbers:Numbers} are found {state}')
+def find_targets(context: Context, numbers: list[int], state: str) -> None:
+    """Report what became of targets; three ends block the request."""
+    for number in numbers:
+        context.end_count += state == 'ended'
+        context.standing = _standing(context)
+        view = _view(context)
+        _apply(context, sharded.on_verified(context.request, number, view))
+
+
 @when('it begins')
 def begin(context: Context) -> None:
     """Send the first attempts of the request."""
@@ -90,7 +119,11 @@
 @when('the attempts {numbers:Numbers} {outcome}')
 def end_attempts(context: Context, numbers: list[int], outcome: str) -> None:
     """End several attempts with the same outcome."""
-    reply = TargetReply(VERDICTS[outcome], signature='s')
+    reply = TargetReply(
+        OUTCOMES[outcome],
+        signature='s',
+        may_have_ended=outcome == 'break off',
+    )
     for number in numbers:
         actions = sharded.on_reply(
             context.request, number, reply, _view(context)
@@ -148,6 +181,13 @@
     assert number in context.cancelled, context.cancelled
 
 
+@then('attempt {number:d} is that of shard {shard}')
+def expect_shard(context: Context, number: int, shard: str) -> None:
+    """Check which shard an attempt was sent to."""
+    service = context.sent[number - 1].replica.entry.target.partition('-')[0]
+    assert service == shard, service
+
+
 @then('it is finished with {count:d} parts')
 def expect_finished(context: Context, count: int) -> None:
     """Check that the request has ended and its number of parts."""
@@ -254,6 +294,9 @@
     context.has_extra_load = True
     context.sent = []
     context.cancelled = []
+    context.standing = Standing.CLEAR
+    context.suspect_services = frozenset()
+    context.end_count = 0
     names = tuple(f's{number}' for number in range(shards))
     context.replicas = {
         name: [
@@ -274,6 +317,14 @@
     context.request = legs.ShardedRequest(plan)
 
 
+def _standing(context: Context) -> Standing:
+    if context.standing is Standing.BLOCKED:
+        return Standing.BLOCKED
+    if context.end_count >= ENDS_BEFORE_BLOCK:
+        return Standing.BLOCKED
+    return Standing.SUSPECT if context.end_count else context.standing
+
+
 def _view(context: Context) -> legs.View:
     return legs.View(
         now_seconds=context.request_seconds,
@@ -284,6 +335,8 @@
         random=random.Random(3).random,
         spend=lambda service, reserve: context.has_extra_load,
         is_extra_load_low=lambda service: not context.has_extra_load,
+        standing=context.standing,
+        suspect_services=context.suspect_services,
     )
 
 
--- a/tests/support/ending.py
+++ b/tests/support/ending.py
@@ -17,10 +17,12 @@
     :param ended: Identifiers of the targets that ended, in order.
     :param incarnations: Start time of the present process of each target that
         ended.
+    :param is_renamed: Whether targets are back under another identifier.
     """
 
     def __init__(self, world: RoutedWorld) -> None:
         self.world = world
+        self.is_renamed = False
         self.ended: list[str] = []
         self.incarnations: dict[str, int] = {}
         self._start_times = itertools.count(1)
@@ -59,10 +61,20 @@
         await asyncio.sleep(RETURN_SECONDS)
         identifier = target.identifier
         await target.start(ADDRESS, self._ports[identifier])
+        if self.is_renamed:
+            self._rename(target)
         born_ms = next(self._start_times)
-        self.incarnations[identifier] = born_ms
+        self.incarnations[target.identifier] = born_ms
         service, _, _ = identifier.rpartition('-')
-        self.world.list_target(identifier, service, born=born_ms)
+        self.world.list_target(target.identifier, service, born=born_ms)
+
+    def _rename(self, target: ShardTarget) -> None:
+        former = target.identifier
+        target.identifier = f'{former}1'
+        self._ports[target.identifier] = self._ports[former]
+        self.world.targets[target.identifier] = self.world.targets.pop(former)
+        self.world.store.delete(f'servers/{former}')
+        self.incarnations.pop(former, None)
 
     def _is_listed_everywhere(self) -> bool:
         return all(
