Refuse values that are nested too deeply like any other that cannot be read

A value of the store that no route or target needs to have written, nested 100,000 deep, raised RecursionError in the decoder instead of the error that says which value is bad. Each instance then started its watch anew, read the same value again, and followed the store no more: neither of two got the next version of the routes (two scenarios that failed before). A response of the store ended the watch for half a second with an internal fault (a third one).

One list of what a decoder raises now stands in schema, and every decoder of received bytes uses it: platform values, responses and entries, replies of targets, bodies of callers, documents, the command line. The two that caught this error already are among them.

--- a/celeryturn/client.py
+++ b/celeryturn/client.py
@@ -8,6 +8,7 @@
 from celeryturn.http.client import fetch
 from celeryturn.http.messages import HttpReply, HttpRequest
 from celeryturn.number_text import read_endpoint
+from celeryturn.schema import UNREADABLE_ERRORS
 
 REQUEST_TIMEOUT_SECONDS: Final = 10.0
 FIRST_ERROR_STATUS: Final = 400
@@ -58,7 +59,7 @@
 def _decode(endpoint: str, reply: HttpReply) -> Any:
     try:
         answer = msgspec.json.decode(reply.body)
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         raise CeleryturnError(
             Kind.UNREACHABLE, f'{endpoint}: the answer is not valid JSON'
         ) from error
--- a/celeryturn/decisions/configuration/document.py
+++ b/celeryturn/decisions/configuration/document.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from celeryturn.errors import CeleryturnError, Fault, Kind
-from celeryturn.schema import decode
+from celeryturn.schema import UNREADABLE_ERRORS, decode
 from celeryturn.units import (
     HASH_SLOT_COUNT,
     Address,
@@ -150,7 +150,7 @@
         raise CeleryturnError(Kind.INVALID_CONFIGURATION, detail)
     try:
         raw = msgspec.json.decode(body)
-    except (msgspec.DecodeError, RecursionError) as error:
+    except UNREADABLE_ERRORS as error:
         raise CeleryturnError(
             Kind.INVALID_CONFIGURATION,
             f'the document is not valid JSON: {error}',
--- a/celeryturn/entry/bodies.py
+++ b/celeryturn/entry/bodies.py
@@ -8,7 +8,7 @@
 from celeryturn.decisions.request.planning import QueryKind, QueryRequest
 from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.http.messages import HttpRequest, split_url
-from celeryturn.schema import decode
+from celeryturn.schema import UNREADABLE_ERRORS, decode
 from celeryturn.units import Key, Name
 
 BodyT = TypeVar('BodyT')
@@ -85,7 +85,7 @@
     """
     try:
         raw = msgspec.json.decode(request.body)
-    except (msgspec.DecodeError, RecursionError) as error:
+    except UNREADABLE_ERRORS as error:
         raise CeleryturnError(
             Kind.BAD_REQUEST, f'the body must be JSON: {error}'
         ) from error
--- a/celeryturn/log_analysis.py
+++ b/celeryturn/log_analysis.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from celeryturn.errors import CeleryturnError, Kind
+from celeryturn.schema import UNREADABLE_ERRORS
 
 EVENT_FIELD: Final = 'event'
 TIME_FIELD: Final = 'timestamp'
@@ -151,7 +152,7 @@
         return None
     try:
         fields = msgspec.json.decode(f'{{{rest}', type=dict[str, Any])
-    except msgspec.DecodeError:
+    except UNREADABLE_ERRORS:
         return None
     event = fields.get(EVENT_FIELD)
     time_seconds = fields.get(TIME_FIELD)
--- a/celeryturn/platform/documents.py
+++ b/celeryturn/platform/documents.py
@@ -10,6 +10,7 @@
 from celeryturn.decisions.targets.replicas import TargetEntry
 from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.platform.node_settings import parse_endpoint
+from celeryturn.schema import UNREADABLE_ERRORS
 from celeryturn.units import Fraction, Integer, PositiveCount
 
 TABLE_KEY: Final = 'op/config'
@@ -152,7 +153,7 @@
 ) -> DocumentT:
     try:
         return decoder.decode(encoded)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except UNREADABLE_ERRORS as error:
         raise CeleryturnError(
             Kind.INVALID_CONFIGURATION, f'value cannot be decoded: {error}'
         ) from error
--- a/celeryturn/platform/service.py
+++ b/celeryturn/platform/service.py
@@ -10,6 +10,7 @@
 
 from celeryturn.decisions.fleet.membership import Member, Status
 from celeryturn.platform.store import Changes, StoreError
+from celeryturn.schema import UNREADABLE_ERRORS
 
 SERVICES_PREFIX: Final = 'services/'
 INSTANCES_PREFIX: Final = 'instances/'
@@ -64,7 +65,7 @@
 def _decode_entry(body: bytes) -> _ListedInstance:
     try:
         return _decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except UNREADABLE_ERRORS as error:
         raise StoreError(
             f'entry of an instance cannot be decoded: {error}'
         ) from error
--- a/celeryturn/platform/store.py
+++ b/celeryturn/platform/store.py
@@ -11,6 +11,7 @@
 from celeryturn.http.client import Connection, connect
 from celeryturn.http.messages import HttpReply, HttpRequest, header
 from celeryturn.number_text import read_count
+from celeryturn.schema import UNREADABLE_ERRORS
 from celeryturn.settings import Endpoint
 from celeryturn.units import Count
 
@@ -252,7 +253,7 @@
 def _decode(decoder: msgspec.json.Decoder[BodyT], reply: HttpReply) -> BodyT:
     try:
         return decoder.decode(reply.body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except UNREADABLE_ERRORS as error:
         raise StoreError(
             f'response of the store cannot be decoded: {error}'
         ) from error
--- a/celeryturn/schema.py
+++ b/celeryturn/schema.py
@@ -16,6 +16,13 @@
 
 SchemaT = TypeVar('SchemaT')
 
+# What a decoder of received bytes raises if it cannot read them.
+UNREADABLE_ERRORS: Final = (
+    msgspec.DecodeError,
+    UnicodeDecodeError,
+    RecursionError,
+)
+
 _MISSING: Final = object()
 
 
--- a/celeryturn/targets/wire.py
+++ b/celeryturn/targets/wire.py
@@ -11,6 +11,7 @@
 from celeryturn.decisions.targets.views import Report
 from celeryturn.errors import CeleryturnError, Kind
 from celeryturn.http.messages import HttpReply, HttpRequest
+from celeryturn.schema import UNREADABLE_ERRORS
 
 READ_PATH: Final = '/v1/read'
 BOOK_PATH: Final = '/v1/book'
@@ -144,7 +145,7 @@
         raise parse_refusal(reply)
     try:
         body = _read_decoder.decode(reply.body)
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         raise _bad_reply() from error
     return Reply(
         body['service'],
@@ -167,7 +168,7 @@
         raise parse_refusal(reply)
     try:
         return _booked_decoder.decode(reply.body)
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         raise _bad_reply() from error
 
 
@@ -182,7 +183,7 @@
         raise _bad_reply()
     try:
         return parse_report(_health_decoder.decode(reply.body))
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         raise _bad_reply() from error
 
 
@@ -195,7 +196,7 @@
     """
     try:
         body = _refusal_decoder.decode(reply.body)
-    except msgspec.DecodeError:
+    except UNREADABLE_ERRORS:
         return _bad_reply()
     reason = body.get('reason', '')
     known_reasons = {failure.value for failure in Failure}
--- a/standins/store.py
+++ b/standins/store.py
@@ -60,6 +60,7 @@
     :param delay_seconds: Delay of each reply, to simulate a slow store.
     :param era: Text of the header that counts restored copies; empty for no
         header.
+    :param nested_reply: Body of the next response; empty for none.
     :param call_counts: Number of reads by whether they may be old, and of
         watches.
     """
@@ -71,6 +72,7 @@
         self.page_item_count = DEFAULT_PAGE_ITEM_COUNT
         self.delay_seconds = 0.0
         self.era = ''
+        self.nested_reply = b''
         self.call_counts: Counter[str] = Counter()
         self._old_state: tuple[dict[str, tuple[bytes, int]], int] | None = None
         self.server = self._make_server()
@@ -164,6 +166,8 @@
 
     async def _handle_request(self, request: HttpRequest) -> HttpReply:
         reply = await self._dispatch(request)
+        if self.nested_reply:
+            return self._take_nested_reply()
         if not self.era:
             return reply
         return reply._replace(headers=(*reply.headers, ('store-era', self.era)))
@@ -187,6 +191,11 @@
             return self._serve_key(request, query)
         return json_reply(NOT_FOUND, {})
 
+    def _take_nested_reply(self) -> HttpReply:
+        body = self.nested_reply
+        self.nested_reply = b''
+        return HttpReply(OK, (), body)
+
     def _apply_command(self, command: bytes) -> HttpReply:
         # Lets scripts, which cannot call this object, change its behaviour.
         self.mode = Mode.BUSY if command == b'down' else Mode.SERVING
--- a/tests/forwarding/forward.feature
+++ b/tests/forwarding/forward.feature
@@ -156,6 +156,28 @@
     When a caller requests "/one/x"
     Then the answer has the status 200 and the body of a target
 
+  # Guards against: a value that no instance can read ends each of them again
+  # and again, and none follows the store any more.
+  Scenario Outline: A value that is nested too deeply stops no instance
+    Given a plain route to 1 targets
+    And a second instance
+    When a value that is nested too deeply is written to "<key>"
+    And the route moves to "/moved/"
+    Then both instances have version 2
+
+    Examples:
+      | key             |
+      | op/config       |
+      | servers/another |
+
+  # Guards against: a response that no instance can read ends the watch.
+  Scenario: A response of the store that is nested too deeply is one of a lost store
+    Given a plain route to 1 targets
+    When the store sends a response that is nested too deeply, and serves again
+    And the route moves to "/moved/"
+    Then the instance has version 2
+    And nothing unexpected is in the log
+
   Scenario Outline: Callers are served while the store is unavailable
     Given a plain route to 1 targets
     When the store becomes <mode>
--- a/tests/steps/forward.py
+++ b/tests/steps/forward.py
@@ -41,6 +41,9 @@
     await world.wait_ready()
 
 
+NESTED_TOO_DEEPLY = b''.join((b'{"x":', b'[' * 100_000, b']' * 100_000, b'}'))
+
+
 @given('a plain route to {count:d} targets')
 def given_plain(context: Context, count: int) -> None:
     """Start a service with a route to it."""
@@ -150,6 +153,27 @@
     run(context, _wait_followed(world))
 
 
+@when('a value that is nested too deeply is written to "{key}"')
+def put_nested(context: Context, key: str) -> None:
+    """Write a value that no decoder can read."""
+    get_world(context).store.put(key, NESTED_TOO_DEEPLY)
+
+
+@when('the store sends a response that is nested too deeply, and serves again')
+def send_nested(context: Context) -> None:
+    """Let one response of the store be one that no decoder can read."""
+    world = get_world(context)
+    world.store.nested_reply = NESTED_TOO_DEEPLY
+    run(context, world.wait_for(lambda: not world.store.nested_reply))
+
+
+@then('nothing unexpected is in the log')
+def expect_no_fault(context: Context) -> None:
+    """Check that no unexpected error was logged."""
+    written = context.log.getvalue()
+    assert 'internal_fault' not in written, written
+
+
 @given('a second instance')
 @when('a second instance is started')
 def start_second(context: Context) -> None:
