--- a/celeryturn/decisions/request/quarantine.py
+++ b/celeryturn/decisions/request/quarantine.py
@@ -23,6 +23,7 @@
 MAX_REQUESTS: Final = 2048
 MAX_ENDS_PER_REQUEST: Final = 32
 MAX_INCARNATIONS: Final = 4096
+MAX_TOLD_ENDS: Final = 8192
 KEEP_SECONDS: Final = 3600.0
 KEEP_CLEARED_SECONDS: Final = 600.0
 PRUNE_INTERVAL_SECONDS: Final = 10.0
@@ -167,6 +168,19 @@
             yield end
 
 
+def counted_targets(record: Record) -> list[str]:
+    """List the targets whose ends count against a request.
+
+    :param record: What is known of the request.
+    :returns: Their identifiers; one that ended twice stands there twice.
+    """
+    return [
+        incarnation.target
+        for incarnation, end in record.ends.items()
+        if end.mark is not Mark.CLEARED
+    ]
+
+
 def merge_ends(
     quarantine: Quarantine, told: Iterable[TargetEnd], now_seconds: float
 ) -> list[TargetEnd]:
@@ -213,6 +227,26 @@
     return merge_ends(quarantine, raised, now_seconds)
 
 
+def clear(
+    quarantine: Quarantine, fingerprint: Fingerprint, now_seconds: float
+) -> list[TargetEnd]:
+    """Clear a request, as an operator asks for.
+
+    :param quarantine: Requests under which targets ended.
+    :param fingerprint: Fingerprint of the request.
+    :param now_seconds: Current time.
+    :returns: The ends that this clears.
+    """
+    record = quarantine.records.get(fingerprint)
+    if record is None:
+        return []
+    cleared = [
+        _describe(fingerprint, incarnation, end, Mark.CLEARED, now_seconds)
+        for incarnation, end in record.ends.items()
+    ]
+    return merge_ends(quarantine, cleared, now_seconds)
+
+
 def refute(
     quarantine: Quarantine,
     incarnation: TargetIncarnation,
@@ -256,13 +290,15 @@
 
     :param quarantine: Requests under which targets ended.
     :param now_seconds: Current time.
-    :returns: The ends, cleared ones too: the peer may still count them.
+    :returns: The ends, cleared ones too: the peer may still count them.  At
+        most :data:`MAX_TOLD_ENDS`, of the latest requests.
     """
-    return tuple(
+    ends = [
         _describe(fingerprint, incarnation, end, end.mark, now_seconds)
         for fingerprint, record in quarantine.records.items()
         for incarnation, end in record.ends.items()
-    )
+    ]
+    return tuple(ends[-MAX_TOLD_ENDS:])
 
 
 def prune(quarantine: Quarantine, now_seconds: float) -> None:
--- a/celeryturn/forwarding/examinations.py
+++ b/celeryturn/forwarding/examinations.py
@@ -1,6 +1,7 @@
 """Targets that are examined, since replies of theirs were lost."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -12,6 +13,17 @@
 from celeryturn.decisions.targets.replicas import Replica
 
 
+class LinksCheck(NamedTuple):
+    """Whether another target was reached while one refused a connection.
+
+    :param checked_seconds: Time at which this was found out.
+    :param is_reached: Whether one accepted a connection.
+    """
+
+    checked_seconds: float
+    is_reached: bool
+
+
 class Examination(NamedTuple):
     """A target, until it is known whether it has ended.
 
@@ -31,11 +43,22 @@
     :param running: Examinations by start of the target.
     :param queue: Examinations that have not begun.
     :param unresolved: Ends of targets of which connections show nothing.
+    :param links_lock: Held while it is found out whether any other target can
+        be reached.
+    :param links_check: What was found last.
     """
 
-    __slots__ = ('queue', 'running', 'unresolved')
+    __slots__ = (
+        'links_check',
+        'links_lock',
+        'queue',
+        'running',
+        'unresolved',
+    )
 
     def __init__(self) -> None:
         self.running: dict[TargetIncarnation, Examination] = {}
         self.queue: asyncio.Queue[Examination] = asyncio.Queue()
         self.unresolved: UnresolvedTable = {}
+        self.links_lock = asyncio.Lock()
+        self.links_check = LinksCheck(-math.inf, is_reached=False)
--- a/celeryturn/forwarding/target_ends.py
+++ b/celeryturn/forwarding/target_ends.py
@@ -10,10 +10,13 @@
     describe_ends,
     keep_unresolved,
 )
-from celeryturn.decisions.targets.departures import TargetIncarnation
+from celeryturn.decisions.targets.departures import (
+    TargetIncarnation,
+    is_leaving,
+)
 from celeryturn.decisions.targets.replicas import Replica
 from celeryturn.events import TARGET_ENDED, log
-from celeryturn.forwarding.examinations import Examination
+from celeryturn.forwarding.examinations import Examination, LinksCheck
 from celeryturn.forwarding.limited_log import may_log
 from celeryturn.forwarding.pools import add_connection, has_open_idle
 from celeryturn.forwarding.shared_state import SharedState, now
@@ -25,6 +28,8 @@
 SETTLE_SECONDS: Final = 0.002
 PROBE_TIMEOUT_SECONDS: Final = 0.25
 OTHER_TARGET_COUNT: Final = 3
+# Many targets that end together are judged by one check.
+LINKS_CHECK_SECONDS: Final = 0.05
 MAX_LOGGED_FINGERPRINTS: Final = 8
 
 
@@ -94,7 +99,7 @@
 async def _find_out(shared: SharedState, replica: Replica) -> Finding:
     await asyncio.sleep(SETTLE_SECONDS)
     pool = get_pool(shared, replica)
-    if has_open_idle(pool):
+    if has_open_idle(pool) or _is_leaving(shared, replica):
         return Finding.RUNS
     try:
         connection = await _connect(shared, replica)
@@ -106,13 +111,30 @@
     return Finding.RUNS
 
 
+def _is_leaving(shared: SharedState, replica: Replica) -> bool:
+    # A target that leaves ends as planned, whatever it runs.
+    known = shared.directory.departures
+    return replica.entry.is_draining or is_leaving(known, _incarnation(replica))
+
+
 async def _judge_refusal(shared: SharedState, replica: Replica) -> Finding:
     # If no target can be reached, the links of this instance may be to blame.
+    examinations = shared.route_states.examinations
+    async with examinations.links_lock:
+        age_seconds = now() - examinations.links_check.checked_seconds
+        if age_seconds > LINKS_CHECK_SECONDS:
+            is_reached = await _reaches_another(shared, replica)
+            examinations.links_check = LinksCheck(now(), is_reached)
+    is_reached = examinations.links_check.is_reached
+    return Finding.ENDED if is_reached else Finding.UNKNOWN
+
+
+async def _reaches_another(shared: SharedState, replica: Replica) -> bool:
     others = _choose_others(shared, replica)
     reached = await asyncio.gather(
         *(_accepts(shared, other) for other in others)
     )
-    return Finding.ENDED if any(reached) else Finding.UNKNOWN
+    return any(reached)
 
 
 def _choose_others(shared: SharedState, replica: Replica) -> list[Replica]:
