--- a/celeryturn/cli.py
+++ b/celeryturn/cli.py
@@ -13,6 +13,7 @@
 from celeryturn import log_analysis, tables
 from celeryturn.client import send_request
 from celeryturn.command_line import run_command_line
+from celeryturn.commands.clear_request import CLEAR_PATH
 from celeryturn.decisions.configuration.document import parse_document
 from celeryturn.errors import CeleryturnError
 from celeryturn.platform.node_settings import load_node_settings
@@ -183,6 +184,20 @@
     return _format_answer(dumps, _states_text, json)
 
 
+def clear(
+    fingerprint: str, at: str = DEFAULT_ENDPOINT, json: bool = False
+) -> str:
+    """Let a request be sent again that was blocked, since targets ended.
+
+    :param fingerprint: Fingerprint of the request, from its log lines.
+    :param at: ADDRESS:PORT of the metrics of any instance; it tells the others.
+    :param json: Print the answer as JSON.
+    """
+    url = f'{CLEAR_PATH}?fingerprint={fingerprint}'
+    answer = _send(at, 'POST', url)
+    return _format_answer(answer, tables.cleared_text, json)
+
+
 def config(at: str = DEFAULT_ENDPOINT, json: bool = False) -> str:
     """Show the current configuration version of every instance.
 
@@ -285,6 +300,7 @@
         book,
         addresses,
         state,
+        clear,
         config,
         explain,
         drain,
@@ -293,6 +309,7 @@
     )
     # Keeps an identifier that looks like a number as text.
     decorators.SetParseFn(str, 'request')(story)
+    decorators.SetParseFn(str, 'fingerprint')(clear)
     try:
         run_command_line(
             {command.__name__: command for command in commands}, 'celeryturn'
--- a/celeryturn/forwarding/auxiliary_listeners.py
+++ b/celeryturn/forwarding/auxiliary_listeners.py
@@ -3,6 +3,10 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple, TypeAlias
 
+from celeryturn.commands.clear_request import (
+    is_clear_request,
+    run_clear_request,
+)
 from celeryturn.forwarding.advice import answer_advice, answer_readiness
 from celeryturn.forwarding.metrics import ForwardingMetrics
 from celeryturn.forwarding.refusals import refusal_reply
@@ -53,6 +57,8 @@
     def answer(shared: SharedState, request: HttpRequest) -> HttpReply:
         if request.url == STATE_PATH:
             return json_reply(OK, encode(dump_routed_state(shared)))
+        if is_clear_request(request):
+            return json_reply(OK, encode(run_clear_request(shared, request)))
         return collectors.answer(shared, request)
 
     return answer
--- a/celeryturn/forwarding/suspect_requests.py
+++ b/celeryturn/forwarding/suspect_requests.py
@@ -25,6 +25,7 @@
 from celeryturn.forwarding.shared_state import SharedState, now
 
 OWN_OBSERVATION: Final = ''
+OPERATOR: Final = 'operator'
 _SURVIVED: Final = frozenset((AttemptOutcome.SUCCEEDED, AttemptOutcome.FAILED))
 
 
@@ -112,6 +113,28 @@
     return changed
 
 
+def clear_request(shared: SharedState, fingerprint: Fingerprint) -> int:
+    """Let a request be sent again, here and at all peers.
+
+    :param shared: Shared state of the instance.
+    :param fingerprint: Fingerprint of the request.
+    :returns: Number of ends that counted against it.
+    """
+    known = shared.route_states.quarantine
+    cleared = quarantine.clear(known, fingerprint, now())
+    _tell(shared, cleared)
+    if cleared:
+        log(
+            REQUEST_STANDING,
+            fingerprint=fingerprint.hex(),
+            standing=Standing.CLEAR.value,
+            targets=[],
+            source=OPERATOR,
+            refused_count=known.records[fingerprint].refused_count,
+        )
+    return len(cleared)
+
+
 def observe_survival(
     shared: SharedState,
     fingerprint: Fingerprint,
@@ -181,11 +204,7 @@
             REQUEST_STANDING,
             fingerprint=fingerprint.hex(),
             standing=record.standing.value,
-            targets=[
-                incarnation.target
-                for incarnation, end in record.ends.items()
-                if end.mark is not quarantine.Mark.CLEARED
-            ],
+            targets=quarantine.counted_targets(record),
             source=source,
             refused_count=record.refused_count,
         )
--- a/celeryturn/queries/routed_dump.py
+++ b/celeryturn/queries/routed_dump.py
@@ -4,6 +4,8 @@
 
 from celeryturn.decisions.fleet import membership
 from celeryturn.decisions.load.request_rate import active_limit
+from celeryturn.decisions.request import quarantine
+from celeryturn.decisions.request.trials import retry_after_seconds
 from celeryturn.decisions.store_position import StorePosition
 from celeryturn.decisions.targets import directory
 from celeryturn.decisions.targets.replicas import Replica, decayed_slowness
@@ -90,6 +92,24 @@
     targets: dict[str, ReplicaDump]
 
 
+class SuspectRequestDump(NamedTuple):
+    """A request under which targets ended.
+
+    :param standing: How it may be sent.
+    :param targets: Identifiers of the targets whose ends count.
+    :param last_end_seconds: Time since the last end.
+    :param trial_in_seconds: Time until an instance tries it again; ``None``
+        unless it is blocked.
+    :param refused_count: Number of times that this instance refused it.
+    """
+
+    standing: str
+    targets: list[str]
+    last_end_seconds: float
+    trial_in_seconds: float | None
+    refused_count: int
+
+
 class RoutedStateDump(NamedTuple):
     """State of one instance that serves published routes.
 
@@ -104,6 +124,7 @@
     :param store: Progress of reading the store.
     :param under_way_count: Number of requests in flight.
     :param services: State of each service by name.
+    :param suspect_requests: Requests under which targets ended, by fingerprint.
     :param members: Known instances by name.
     :param live_count: Largest recent number of instances that share limits.
     :param tables: Size and bound of each table by name.
@@ -119,6 +140,7 @@
     store: StoreDump
     under_way_count: int
     services: dict[str, RoutedServiceDump]
+    suspect_requests: dict[str, SuspectRequestDump]
     members: dict[str, membership.Member]
     live_count: int
     tables: dict[str, Bound]
@@ -146,6 +168,7 @@
         store=_dump_store(shared),
         under_way_count=len(shared.in_flight),
         services={name: _dump_service(shared, name) for name in names},
+        suspect_requests=_dump_suspects(shared.route_states.quarantine),
         members=dict(sorted(members.members.items())),
         live_count=membership.live_count(members),
         tables={
@@ -153,10 +176,40 @@
                 len(shared.directory.services), directory.MAX_TARGETS
             ),
             'members': Bound(len(members.members), membership.MAX_MEMBERS),
+            'suspect_requests': Bound(
+                len(shared.route_states.quarantine.records),
+                quarantine.MAX_REQUESTS,
+            ),
         },
     )
 
 
+def _dump_suspects(
+    known: quarantine.Quarantine,
+) -> dict[str, SuspectRequestDump]:
+    return {
+        fingerprint.hex(): _dump_suspect(record)
+        for fingerprint, record in known.records.items()
+        if record.standing is not quarantine.Standing.CLEAR
+    }
+
+
+def _dump_suspect(record: quarantine.Record) -> SuspectRequestDump:
+    now_seconds = shared_state.now()
+    is_blocked = record.standing is quarantine.Standing.BLOCKED
+    counted = tuple(quarantine.counted_ends(record))
+    return SuspectRequestDump(
+        standing=record.standing.value,
+        targets=quarantine.counted_targets(record),
+        last_end_seconds=now_seconds
+        - max(end.ended_seconds for end in counted),
+        trial_in_seconds=retry_after_seconds(record, now_seconds)
+        if is_blocked
+        else None,
+        refused_count=record.refused_count,
+    )
+
+
 def _dump_store(shared: SharedState) -> StoreDump:
     progress = shared.progress
     return StoreDump(
--- a/celeryturn/tables.py
+++ b/celeryturn/tables.py
@@ -54,6 +54,18 @@
     return '\n'.join(lines)
 
 
+def cleared_text(answer: Mapping[str, Any]) -> str:
+    """Format the answer to an operator who clears a request.
+
+    :param answer: The decoded answer.
+    :returns: One line.
+    """
+    count = answer['cleared_count']
+    if not count:
+        return f'{answer["fingerprint"]}: no target is known to have ended'
+    return f'{answer["fingerprint"]}: may be sent again; {count} ends cleared'
+
+
 def booking_text(answer: Mapping[str, Any]) -> str:
     """Format a booking.
 
--- a/tests/forwarding/ending_requests.feature
+++ b/tests/forwarding/ending_requests.feature
@@ -145,3 +145,20 @@
     When "/one/deadly" is requested 6 times, at the first instance
     Then at most 6 targets ended
     And all instances have blocked "/one/deadly"
+
+  Scenario: An operator sees a blocked request and clears it
+    Given a plain route to 9 targets
+    And 2 more instances
+    And each target ends when it runs "/one/deadly", and is back later
+    When "/one/deadly" is requested until all instances have blocked it
+    Then the state of each instance shows "/one/deadly" as blocked
+    When the targets no longer end
+    And an operator clears "/one/deadly" at the second instance
+    Then no request is blocked at any instance
+    When "/one/deadly" is requested 3 times, at the instances in turn
+    Then every answer has the status 200
+
+  Scenario: A fingerprint that is none is refused
+    Given a plain route to 1 targets
+    When an operator clears the fingerprint "12xy"
+    Then the answer has the status 400
--- a/tests/steps/ending_requests.py
+++ b/tests/steps/ending_requests.py
@@ -6,13 +6,19 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from celeryturn.decisions.request.fingerprint import compute_fingerprint
+from celeryturn import cli
+from celeryturn.commands.clear_request import CLEAR_PATH
+from celeryturn.decisions.request.fingerprint import (
+    Fingerprint,
+    compute_fingerprint,
+)
 from celeryturn.decisions.request.quarantine import (
     Quarantine,
     Standing,
     find_standing,
 )
-from celeryturn.http.messages import HttpReply
+from celeryturn.http.messages import HttpReply, HttpRequest
+from celeryturn.queries.routed_dump import dump_routed_state
 from standins.shard_target import ShardTarget
 from tests.support.ending import EndingTargets
 from tests.support.routed import (
@@ -179,6 +185,42 @@
     run(context, send_all())
 
 
+@when('an operator clears "{url}" at the second instance')
+def clear(context: Context, url: str) -> None:
+    """Use the command line of operators."""
+    settings = get_world(context).applications[1].shared.settings
+    endpoint = f'{settings.metrics.address}:{settings.metrics.port}'
+    digits = _fingerprint(url).hex()
+    printed = run(context, asyncio.to_thread(cli.clear, digits, endpoint))
+    assert f'{digits}: may be sent again' in printed, printed
+
+
+@when('an operator clears the fingerprint "{digits}"')
+def clear_unknown(context: Context, digits: str) -> None:
+    """Send the request of the command line."""
+    world = get_world(context)
+    metrics = world.applications[0].shared.settings.metrics
+
+    async def send() -> HttpReply:
+        connection = await world.connect(metrics)
+        url = f'{CLEAR_PATH}?fingerprint={digits}'
+        return await connection.exchange(HttpRequest('POST', url))
+
+    context.replies = [run(context, send())]
+
+
+@then('the state of each instance shows "{url}" as blocked')
+def expect_dumped(context: Context, url: str) -> None:
+    """Check the dump of each instance."""
+    digits = _fingerprint(url).hex()
+    for application in get_world(context).applications:
+        dump = dump_routed_state(application.shared)
+        suspect = dump.suspect_requests[digits]
+        assert suspect.standing == 'blocked', suspect
+        assert len(suspect.targets) >= 3, suspect
+        assert dump.tables['suspect_requests'].held == 1, dump.tables
+
+
 @then('at most {count:d} targets ended')
 def expect_few_ends(context: Context, count: int) -> None:
     """Check how many targets ended, those that are back included."""
@@ -211,7 +253,7 @@
 @then('all instances have blocked "{url}"')
 def expect_blocked(context: Context, url: str) -> None:
     """Wait until each instance has blocked the request."""
-    fingerprint = compute_fingerprint('GET', HOST, url, b'')
+    fingerprint = _fingerprint(url)
     world = get_world(context)
     run(
         context,
@@ -232,6 +274,10 @@
     assert expected in metrics, metrics
 
 
+def _fingerprint(url: str) -> Fingerprint:
+    return compute_fingerprint('GET', HOST, url, b'')
+
+
 def _quarantines(context: Context) -> list[Quarantine]:
     return [
         application.shared.route_states.quarantine
