--- a/tests/decisions/request/quarantine.feature
+++ b/tests/decisions/request/quarantine.feature
@@ -94,6 +94,7 @@
     Given no target has ended
     When 3000 requests each end 40 targets
     Then at most 2048 requests with at most 32 ends are known
+    And what is told on a new link fits a message
 
   Scenario: A blocked request is tried again, twice at most
     Given no target has ended
--- a/tests/forwarding/ending_requests.feature
+++ b/tests/forwarding/ending_requests.feature
@@ -50,6 +50,15 @@
       | truncate |
       | garble   |
 
+  # Guards against: the end of a target that was announced counts against what it
+  # was running.
+  Scenario: A target that leaves as announced is no evidence
+    Given a plain route to 6 targets
+    And its targets take 100 ms
+    And each target that ends is back later
+    When 12 callers request "/one/x" while each target says that it leaves, and ends
+    Then no request is suspect at any instance
+
   # Guards against: links that one instance has lost block requests at all.
   Scenario: A request that fails for lost links is not blocked elsewhere
     Given a plain route to 6 targets
--- a/tests/steps/ending_requests.py
+++ b/tests/steps/ending_requests.py
@@ -17,12 +17,14 @@
     Standing,
     find_standing,
 )
+from celeryturn.decisions.targets.directory import serving_replicas
 from celeryturn.http.messages import HttpReply, HttpRequest
 from celeryturn.queries.routed_dump import dump_routed_state
 from standins.shard_target import ShardTarget
 from tests.support.ending import EndingTargets
 from tests.support.routed import (
     HOST,
+    SERVICE,
     RoutedWorld,
     caller_request,
     get_world,
@@ -89,6 +91,31 @@
             target.ending_urls = frozenset((url,))
 
 
+@when(
+    '{count:d} callers request "{url}" while each target says that it leaves,'
+    ' and ends'
+)
+def leave_and_end(context: Context, count: int, url: str) -> None:
+    """Let the store list all targets as draining before they end."""
+    world = get_world(context)
+    requests = [caller_request(url, number) for number in range(count)]
+    shared = world.applications[0].shared
+
+    async def send_and_end() -> None:
+        sending = asyncio.create_task(world.send_all(requests))
+        await world.wait_for(lambda: len(shared.in_flight) == count)
+        for name in world.targets:
+            world.list_target(name, SERVICE, State='draining')
+        await world.wait_for(
+            lambda: not serving_replicas(shared.directory, SERVICE)
+        )
+        for name in world.targets:
+            await context.ending.end(name)
+        context.replies = await sending
+
+    run(context, send_and_end())
+
+
 @when('the targets no longer end')
 def stop_ending(context: Context) -> None:
     """Let all targets survive all requests."""
@@ -243,6 +270,20 @@
     assert len(set(ran)) == len(ran), ran
 
 
+@then('no request is suspect at any instance')
+def expect_none_suspect(context: Context) -> None:
+    """Wait until all lost replies were examined, then check the records."""
+    world = get_world(context)
+    states = [known.shared.route_states for known in world.applications]
+    run(
+        context,
+        world.wait_for(
+            lambda: not any(state.examinations.running for state in states)
+        ),
+    )
+    assert not any(state.quarantine.records for state in states)
+
+
 @then('no request is blocked at any instance')
 def expect_none_blocked(context: Context) -> None:
     """Wait until all instances agree that no request is blocked."""
--- a/tests/steps/quarantine.py
+++ b/tests/steps/quarantine.py
@@ -20,6 +20,7 @@
     TargetEnd,
 )
 from celeryturn.decisions.targets.departures import TargetIncarnation
+from celeryturn.peers import encoding, messages
 from tests.support.members import make_member
 
 START_SECONDS = 1000.0
@@ -30,6 +31,7 @@
 WRITTEN_SECONDS = MappingProxyType({'earlier': -1.0, 'later': 1.0})
 REPLY_SECONDS = 2.0
 ZONE_COUNT = 3
+LONG_NAME = 'i-67b5d4196d-of-a-long-identifier'
 
 
 @given('no target has ended')
@@ -167,6 +169,17 @@
     assert len(context.quarantine.ended_seconds) <= requests * ends
 
 
+@then('what is told on a new link fits a message')
+def expect_fit(context: Context) -> None:
+    """Encode what is told, with names as long as they are on the platform."""
+    told = quarantine.list_ends(context.quarantine, context.now_seconds)
+    named = tuple(
+        end._replace(target=LONG_NAME, service=LONG_NAME) for end in told
+    )
+    encoded = encoding.pack(messages.TargetEnds(named))
+    assert len(encoded) < encoding.MAX_MESSAGE_BYTES, len(encoded)
+
+
 @then('a trial is due in {seconds:g} s')
 def expect_trial(context: Context, seconds: float) -> None:
     """Check when the request may be tried, and what a caller is told."""
