--- a/standins/shard_target.py
+++ b/standins/shard_target.py
@@ -151,9 +151,13 @@
         """Simulate a crash: close the port and abort every connection."""
         if self._server is not None:
             self._server.close()
+        self.break_off()
+        await asyncio.sleep(0)
+
+    def break_off(self) -> None:
+        """Abort every connection; the target goes on listening."""
         for writer in tuple(self._writers):
             writer.transport.abort()
-        await asyncio.sleep(0)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/standins/target.py
+++ b/standins/target.py
@@ -27,6 +27,7 @@
 RETAINED_SNAPSHOT_COUNT: Final = 10
 COLD_LATENCY_FACTOR: Final = 5.0
 MAX_RECORDS_BYTES: Final = 1_000_000
+RETURN_SECONDS: Final = 0.05
 
 
 class Script(NamedTuple):
@@ -41,6 +42,8 @@
     :param is_cold: Whether the target is slow because it is warming up.
     :param loses_booking_replies: Whether bookings run but get no reply.
     :param checks_epoch: Whether bookings of another epoch are refused.
+    :param ending_text: Text of the searches that end the target when it runs
+        them; empty for none.
     :param false_report: Fields that override those of the status report.
     """
 
@@ -53,6 +56,7 @@
     is_cold: bool = False
     loses_booking_replies: bool = False
     checks_epoch: bool = False
+    ending_text: str = ''
     false_report: dict[str, Any] | None = None
 
 
@@ -115,6 +119,7 @@
         index, snapshot or epoch.
     :param max_connections_seen: Maximum number of connections that were open
         at once.
+    :param end_count: Number of times that a search has ended the target.
     """
 
     def __init__(
@@ -135,6 +140,8 @@
         self.request_log: list[tuple[str, float]] = []
         self.max_connections_seen = 0
         self.conflict_count = 0
+        self.end_count = 0
+        self._ending: set[asyncio.Task[None]] = set()
         self.false_health: dict[str, Any] = {}
         self._random = random.Random(name)
         self._slots = asyncio.Semaphore(slots)
@@ -176,6 +183,11 @@
             return refusal
         return await self._run_request(path, request)
 
+    @property
+    def is_away(self) -> bool:
+        """Whether a search has ended it and it is not back yet."""
+        return bool(self._ending)
+
     def report(self) -> dict[str, Any]:
         """Build the status report that replies carry.
 
@@ -215,6 +227,8 @@
         remaining_seconds = float(
             header(request.headers, 'deadline-seconds') or '60'
         )
+        if path == '/v1/read' and self.script.ending_text:
+            await self._end_by_search(request)
         self._queue_count += 1
         try:
             async with asyncio.timeout(remaining_seconds):
@@ -226,6 +240,29 @@
         finally:
             self._queue_count -= 1
 
+    async def _end_by_search(self, request: HttpRequest) -> None:
+        body = msgspec.json.decode(request.body)
+        if body['text'] != self.script.ending_text:
+            return
+        if not self._ending:
+            self.end_count += 1
+            task = asyncio.get_running_loop().create_task(
+                self._end_and_return()
+            )
+            self._ending.add(task)
+            task.add_done_callback(self._ending.discard)
+        await asyncio.Event().wait()
+
+    async def _end_and_return(self) -> None:
+        port = self.server.port
+        await self.server.stop(0)
+        await asyncio.sleep(RETURN_SECONDS)
+        script = self.script
+        self.restart()
+        self.script = script
+        self.server.is_closing = False
+        await self.server.start(self.location.address, port)
+
     def _dispatch(self, path: str, request: HttpRequest) -> HttpReply:
         body = msgspec.json.decode(request.body)
         if path == '/v1/read':
--- a/tests/forwarding/ending_requests.feature
+++ b/tests/forwarding/ending_requests.feature
@@ -56,7 +56,7 @@
     Given a plain route to 6 targets
     And its targets take 100 ms
     And each target that ends is back later
-    When 12 callers request "/one/x" while each target says that it leaves, and ends
+    When 12 callers request "/one/x" while all targets but one are listed as leaving, and end
     Then no request is suspect at any instance
 
   # Guards against: links that one instance has lost block requests at all.
@@ -171,3 +171,12 @@
     Given a plain route to 1 targets
     When an operator clears the fingerprint "12xy"
     Then the answer has the status 400
+
+  # Guards against: links that break off make all targets seem to have ended.
+  Scenario: Requests in flight when links break off are not taken for the cause
+    Given a plain route to 6 targets
+    And 2 more instances
+    And its targets take 100 ms
+    And each target that ends is back later
+    When 12 callers request "/one/x" while the links of the first instance break off
+    Then no request is suspect at any instance
--- a/tests/steps/ending_requests.py
+++ b/tests/steps/ending_requests.py
@@ -22,6 +22,7 @@
 from celeryturn.queries.routed_dump import dump_routed_state
 from standins.shard_target import ShardTarget
 from tests.support.ending import EndingTargets
+from tests.support.lost_links import refuse
 from tests.support.routed import (
     HOST,
     SERVICE,
@@ -92,11 +93,11 @@
 
 
 @when(
-    '{count:d} callers request "{url}" while each target says that it leaves,'
-    ' and ends'
+    '{count:d} callers request "{url}" while all targets but one are listed as'
+    ' leaving, and end'
 )
 def leave_and_end(context: Context, count: int, url: str) -> None:
-    """Let the store list all targets as draining before they end."""
+    """Let the store list targets as draining before they end."""
     world = get_world(context)
     requests = [caller_request(url, number) for number in range(count)]
     shared = world.applications[0].shared
@@ -104,18 +105,49 @@
     async def send_and_end() -> None:
         sending = asyncio.create_task(world.send_all(requests))
         await world.wait_for(lambda: len(shared.in_flight) == count)
-        for name in world.targets:
+        _, *leaving = world.targets
+        for name in leaving:
             world.list_target(name, SERVICE, State='draining')
         await world.wait_for(
-            lambda: not serving_replicas(shared.directory, SERVICE)
+            lambda: len(serving_replicas(shared.directory, SERVICE)) == 1
         )
-        for name in world.targets:
+        for name in leaving:
             await context.ending.end(name)
         context.replies = await sending
 
     run(context, send_and_end())
 
 
+@when(
+    '{count:d} callers request "{url}" while the links of the first instance'
+    ' break off'
+)
+def break_links(context: Context, count: int, url: str) -> None:
+    """Break off the connections of requests in flight; refuse new ones."""
+    world = get_world(context)
+    requests = [caller_request(url, number) for number in range(count)]
+    shared = world.applications[0].shared
+
+    async def send_and_break() -> None:
+        sending = asyncio.create_task(world.send_all(requests))
+        await world.wait_for(
+            lambda: (
+                sum(
+                    len(target.served_urls) for target in world.targets.values()
+                )
+                == count
+            )
+        )
+        shared.connect_target = refuse
+        for pool in shared.pools.values():
+            pool.connector = refuse
+        for target in world.targets.values():
+            target.break_off()
+        context.replies = await sending
+
+    run(context, send_and_break())
+
+
 @when('the targets no longer end')
 def stop_ending(context: Context) -> None:
     """Let all targets survive all requests."""
--- a/tests/steps/lost_links.py
+++ b/tests/steps/lost_links.py
@@ -10,9 +10,10 @@
 from celeryturn.forwarding.app import ForwardingApplication
 from celeryturn.forwarding.helping import may_serve_relayed
 from celeryturn.forwarding.pools import Connector, Pool
-from celeryturn.http.client import Connection, connect
+from celeryturn.http.client import connect
 from celeryturn.http.messages import HttpReply, HttpRequest
 from celeryturn.peers.handover_messages import HandoverTerms
+from tests.support.lost_links import hang, refuse
 from tests.support.routed import (
     POLL_SECONDS,
     RoutedWorld,
@@ -25,21 +26,12 @@
 MAX_WAIT_SECONDS = 10
 
 
-async def _hang(_address: str, _port: int, seconds: float) -> Connection:
-    await asyncio.sleep(seconds)
-    raise TimeoutError
-
-
-async def _refuse(_address: str, _port: int, _seconds: float) -> Connection:
-    raise ConnectionRefusedError
-
-
 @when('the first instance loses its links to targets, which hang')
 def lose_silently(context: Context) -> None:
     """Let open connections stay silent, and new ones hang."""
     world = get_world(context)
     run(context, world.wait_for(lambda: not _is_opening(world)))
-    for pool in _lose(world, _hang):
+    for pool in _lose(world, hang):
         for idle in pool.idle:
             transport = idle.connection._transport
             assert transport is not None
@@ -51,7 +43,7 @@
     """Close open connections, and refuse new ones."""
     world = get_world(context)
     run(context, world.wait_for(lambda: not _is_opening(world)))
-    for pool in _lose(world, _refuse):
+    for pool in _lose(world, refuse):
         for idle in pool.idle:
             idle.connection.close()
 
@@ -62,7 +54,7 @@
 )
 def refuse_new(context: Context) -> None:
     """Refuse new connections only."""
-    _lose(get_world(context), _refuse)
+    _lose(get_world(context), refuse)
 
 
 @when('callers of the first instance request "{path}" until one is served')
@@ -291,7 +283,7 @@
     world: RoutedWorld, applications: list[ForwardingApplication]
 ) -> None:
     for application in applications:
-        for pool in _lose(world, _refuse, application):
+        for pool in _lose(world, refuse, application):
             for idle in pool.idle:
                 idle.connection.close()
         await _request_until_lost(world, application)
