Answer at once what may not be sent again; only a reply shows that a target runs

The two new scenarios failed before. - An exchange that was lost on a connection from before an end counted as a sign that the target still runs, and cleared the end (rows lost, not_sent and unusable of the new outline). - Whether the links work is asked of targets that accept requests only; on a fleet that drains, the check could meet three that had just left.

--- a/celeryturn/decisions/request/canary.py
+++ b/celeryturn/decisions/request/canary.py
@@ -86,13 +86,15 @@
     may_send = may_send_again(request, view)
     if may_send and _is_safe(request, view):
         return _release(request, view, send_next)
-    # What is in flight may survive yet, and whether a target has ended is known
-    # in a moment.
-    if request.in_flight or request.unverified:
+    # What is in flight may survive yet.
+    if request.in_flight:
         return []
-    if may_send:
-        return _send_canary(request, view, send_next)
-    return _settle_all(request, held)
+    if not may_send:
+        return _settle_all(request, held)
+    # Whether targets have ended is known in a moment.
+    if request.unverified:
+        return []
+    return _send_canary(request, view, send_next)
 
 
 def _is_safe(request: ShardedRequest, view: View) -> bool:
--- a/celeryturn/decisions/request/sharded.py
+++ b/celeryturn/decisions/request/sharded.py
@@ -174,7 +174,7 @@
     leg = request.legs[position]
     if leg.attempts:
         return []
-    if needs_canary(request, view) or not may_send_again(request, view):
+    if _may_retry(request, leg) and _must_hold(request, view):
         leg.is_held = True
         return []
     actions = _send_next(request, position, view)
@@ -184,6 +184,10 @@
     return finish(request) if is_decided(request) else []
 
 
+def _must_hold(request: ShardedRequest, view: View) -> bool:
+    return needs_canary(request, view) or not may_send_again(request, view)
+
+
 def _send_next(request: ShardedRequest, position: int, view: View) -> Actions:
     leg = request.legs[position]
     is_retry = bool(leg.tried_targets)
--- a/celeryturn/forwarding/suspect_requests.py
+++ b/celeryturn/forwarding/suspect_requests.py
@@ -27,6 +27,8 @@
 OWN_OBSERVATION: Final = ''
 OPERATOR: Final = 'operator'
 _SURVIVED: Final = frozenset((AttemptOutcome.SUCCEEDED, AttemptOutcome.FAILED))
+# The target itself has replied.
+_REPLIED: Final = _SURVIVED | {AttemptOutcome.SHED}
 
 
 def require_allowed(
@@ -150,6 +152,8 @@
     :param exchange: The exchange, which has ended.
     :param outcome: Outcome of the attempt.
     """
+    if outcome not in _REPLIED:
+        return
     known = shared.route_states.quarantine
     entry = replica.entry
     if outcome in _SURVIVED and shared.route_states.examinations.unresolved:
--- a/celeryturn/forwarding/target_ends.py
+++ b/celeryturn/forwarding/target_ends.py
@@ -14,6 +14,7 @@
     TargetIncarnation,
     is_leaving,
 )
+from celeryturn.decisions.targets.directory import serving_replicas
 from celeryturn.decisions.targets.replicas import Replica
 from celeryturn.events import TARGET_ENDED, log
 from celeryturn.forwarding.examinations import Examination, LinksCheck
@@ -140,8 +141,8 @@
 def _choose_others(shared: SharedState, replica: Replica) -> list[Replica]:
     others = [
         other
-        for replicas in shared.directory.replicas.values()
-        for other in replicas.values()
+        for service in shared.directory.replicas
+        for other in serving_replicas(shared.directory, service)
         if other is not replica
     ]
     offset = int(shared.instance.random() * len(others))
--- a/tests/decisions/request/canary.feature
+++ b/tests/decisions/request/canary.feature
@@ -92,6 +92,24 @@
     And the targets of the attempts 1 5 are found ended
     Then it is finished with 3 parts
 
+  # Guards against: a request that has been given up waits for its answer.
+  Scenario: A request that may not be sent again ends at once
+    Given an idempotent request to 1 shards of 3 targets, of which 1 must reply
+    When it begins
+    And the attempts 1 break off
+    And the attempts 2 break off
+    Then 2 attempts were sent
+    And it is finished with 0 parts
+
+  Scenario: A search that three targets are known to have ended under ends at once
+    Given an idempotent request to 4 shards of 3 targets, of which 3 must reply
+    When it begins
+    And the attempts 1 2 3 4 break off
+    And the attempts 5 break off
+    And the targets of the attempts 1 2 3 are found ended
+    Then 5 attempts were sent
+    And it is finished with 0 parts
+
   Scenario: A trial is sent to one target only
     Given an idempotent request to 3 shards of 3 targets, of which 2 must reply
     And it is the trial of a blocked request
--- a/tests/forwarding/ending_requests.feature
+++ b/tests/forwarding/ending_requests.feature
@@ -172,6 +172,22 @@
     When an operator clears the fingerprint "12xy"
     Then the answer has the status 400
 
+  # Guards against: a reply that is lost on a connection from before an end is
+  # taken for a sign that the target still runs.
+  Scenario Outline: Only a reply shows that a target has not ended
+    Given a plain route to 2 targets
+    When the first instance is told of an end of the first target
+    And an exchange on an older connection to it is <outcome>
+    Then the request of that end is <standing>
+
+    Examples:
+      | outcome   | standing |
+      | lost      | suspect  |
+      | not_sent  | suspect  |
+      | unusable  | suspect  |
+      | shed      | clear    |
+      | succeeded | clear    |
+
   # Guards against: links that break off make all targets seem to have ended.
   Scenario: Requests in flight when links break off are not taken for the cause
     Given a plain route to 6 targets
--- a/tests/steps/ending_requests.py
+++ b/tests/steps/ending_requests.py
@@ -13,11 +13,23 @@
     compute_fingerprint,
 )
 from celeryturn.decisions.request.quarantine import (
+    Mark,
     Quarantine,
     Standing,
+    TargetEnd,
     find_standing,
 )
-from celeryturn.decisions.targets.directory import serving_replicas
+from celeryturn.decisions.request.replies import AttemptOutcome
+from celeryturn.decisions.targets.directory import (
+    find_replica,
+    serving_replicas,
+)
+from celeryturn.forwarding.exchanges import Exchange
+from celeryturn.forwarding.shared_state import now
+from celeryturn.forwarding.suspect_requests import (
+    merge_ends,
+    observe_survival,
+)
 from celeryturn.http.messages import HttpReply, HttpRequest
 from celeryturn.queries.routed_dump import dump_routed_state
 from standins.shard_target import ShardTarget
@@ -302,6 +314,47 @@
     assert len(set(ran)) == len(ran), ran
 
 
+@when('the first instance is told of an end of the first target')
+def tell_end(context: Context) -> None:
+    """Let a peer tell of an end a second ago."""
+    shared = get_world(context).applications[0].shared
+    end = TargetEnd(
+        _fingerprint('/one/x'), f'{SERVICE}-0', 0, SERVICE, Mark.SUSPECT, 1.0
+    )
+    merge_ends(shared, (end,), 'entry-9')
+
+
+@when('an exchange on an older connection to it is {outcome}')
+def end_exchange(context: Context, outcome: str) -> None:
+    """End an exchange that was written after the end."""
+    shared = get_world(context).applications[0].shared
+    replica = find_replica(shared.directory, f'{SERVICE}-0')
+    assert replica is not None
+    exchange = Exchange(
+        0,
+        lambda: caller_request('/one/other'),
+        lambda _ended, _outcome: None,
+        lambda _reply: True,
+    )
+    exchange.opened_seconds = now() - 5
+    exchange.written_seconds = now() - 0.5
+    observe_survival(
+        shared,
+        _fingerprint('/one/other'),
+        replica,
+        exchange,
+        AttemptOutcome(outcome),
+    )
+
+
+@then('the request of that end is {standing}')
+def expect_standing_of(context: Context, standing: str) -> None:
+    """Check the standing of the request of the end that was told."""
+    first = _quarantines(context)[0]
+    found = find_standing(first, _fingerprint('/one/x'))
+    assert found is Standing(standing), found
+
+
 @then('no request is suspect at any instance')
 def expect_none_suspect(context: Context) -> None:
     """Wait until all lost replies were examined, then check the records."""
