--- a/celeryturn/decisions/request/canary.py
+++ b/celeryturn/decisions/request/canary.py
@@ -15,7 +15,7 @@
     View,
 )
 from celeryturn.decisions.request.quarantine import Standing
-from celeryturn.decisions.request.replies import AttemptOutcome
+from celeryturn.decisions.request.replies import SURVIVED, AttemptOutcome
 
 # Sends the next attempt of the leg at a position; no actions if there is none.
 SendNext: TypeAlias = Callable[[ShardedRequest, int, View], Actions]
@@ -162,11 +162,7 @@
     :param request: The request.
     :param outcome: The outcome.
     """
-    if outcome in _SURVIVED:
+    if outcome in SURVIVED:
         request.has_survived = True
     elif outcome is AttemptOutcome.LOST:
         request.lost_count += 1
-
-
-# The target has run the request and is there to say so.
-_SURVIVED = frozenset((AttemptOutcome.SUCCEEDED, AttemptOutcome.FAILED))
--- a/celeryturn/decisions/request/replies.py
+++ b/celeryturn/decisions/request/replies.py
@@ -23,6 +23,10 @@
 )
 
 
+# The target has run the request and is there to say so.
+SURVIVED = frozenset((AttemptOutcome.SUCCEEDED, AttemptOutcome.FAILED))
+
+
 class TargetReply(NamedTuple):
     """Parts of a target's reply that decisions use.
 
--- a/celeryturn/forwarding/suspect_requests.py
+++ b/celeryturn/forwarding/suspect_requests.py
@@ -15,7 +15,7 @@
     TargetEnd,
     find_standing,
 )
-from celeryturn.decisions.request.replies import AttemptOutcome
+from celeryturn.decisions.request.replies import SURVIVED, AttemptOutcome
 from celeryturn.decisions.targets.departures import TargetIncarnation
 from celeryturn.decisions.targets.replicas import Replica
 from celeryturn.errors import CeleryturnError, Kind
@@ -26,9 +26,8 @@
 
 OWN_OBSERVATION: Final = ''
 OPERATOR: Final = 'operator'
-_SURVIVED: Final = frozenset((AttemptOutcome.SUCCEEDED, AttemptOutcome.FAILED))
 # The target itself has replied.
-_REPLIED: Final = _SURVIVED | {AttemptOutcome.SHED}
+_REPLIED: Final = SURVIVED | {AttemptOutcome.SHED}
 
 
 def require_allowed(
@@ -156,7 +155,7 @@
         return
     known = shared.route_states.quarantine
     entry = replica.entry
-    if outcome in _SURVIVED and shared.route_states.examinations.unresolved:
+    if outcome in SURVIVED and shared.route_states.examinations.unresolved:
         forget_survived(
             shared.route_states.examinations.unresolved,
             fingerprint,
@@ -171,7 +170,7 @@
         exchange.written_seconds,
         now(),
     )
-    if outcome in _SURVIVED:
+    if outcome in SURVIVED:
         cleared.extend(
             quarantine.record_survival(known, fingerprint, entry.service, now())
         )
