Bound the ends kept for a target that cannot be examined

Found on reading the whole change once more: each lost reply of a target that neither accepts nor refuses connections was kept, and each further one put off the time at which they are dropped, so that a target that hangs for long filled the memory, and each reply of any target walked over all of it. 64 are kept.

The new scenario failed before. No other behaviour changes.

--- a/celeryturn/decisions/request/lost_replies.py
+++ b/celeryturn/decisions/request/lost_replies.py
@@ -19,6 +19,7 @@
 from celeryturn.decisions.targets.directory import Directory, find_replica
 
 MAX_UNRESOLVED: Final = 512
+MAX_ENDS_PER_TARGET: Final = 64
 UNRESOLVED_SECONDS: Final = 15.0
 
 
@@ -80,7 +81,8 @@
     """Keep ends until the list of targets shows whether they are any.
 
     :param table: Unresolved ends by start of the target; the oldest are
-        dropped beyond :data:`MAX_UNRESOLVED` targets.
+        dropped beyond :data:`MAX_UNRESOLVED` targets, and beyond
+        :data:`MAX_ENDS_PER_TARGET` ends of a target.
     :param ends: What the end of one target would say.
     :param now_seconds: Time at which the replies were lost.
     """
@@ -90,9 +92,8 @@
     known = table.get(incarnation)
     if known is not None:
         ends = (*known.ends, *ends)
-    put_latest(
-        table, incarnation, Unresolved(ends, now_seconds), MAX_UNRESOLVED
-    )
+    unresolved = Unresolved(ends[-MAX_ENDS_PER_TARGET:], now_seconds)
+    put_latest(table, incarnation, unresolved, MAX_UNRESOLVED)
 
 
 def forget_survived(
--- a/tests/decisions/request/quarantine.feature
+++ b/tests/decisions/request/quarantine.feature
@@ -96,6 +96,11 @@
     Then at most 2048 requests with at most 32 ends are known
     And what is told on a new link fits a message
 
+  # Guards against: a target that hangs for long fills the memory.
+  Scenario: Lost replies that nothing explains are bounded
+    When 1000 replies of one target are lost, and nothing shows whether it ended
+    Then at most 64 of its ends are kept
+
   Scenario: A blocked request is tried again, twice at most
     Given no target has ended
     When targets a-1 a-2 a-3 of service a end under the request
--- a/tests/steps/quarantine.py
+++ b/tests/steps/quarantine.py
@@ -13,6 +13,7 @@
 
 from celeryturn.decisions.fleet.membership import Status
 from celeryturn.decisions.request import quarantine, trials
+from celeryturn.decisions.request.lost_replies import keep_unresolved
 from celeryturn.decisions.request.quarantine import (
     Mark,
     Quarantine,
@@ -132,6 +133,25 @@
         _report(context, end)
 
 
+@when(
+    '{count:d} replies of one target are lost, and nothing shows whether it'
+    ' ended'
+)
+def lose_replies(context: Context, count: int) -> None:
+    """Keep ends that are not resolved, one after the other."""
+    context.unresolved = {}
+    for _ in range(count):
+        ends = (_end('a-1', 'a'),)
+        keep_unresolved(context.unresolved, ends, START_SECONDS)
+
+
+@then('at most {count:d} of its ends are kept')
+def expect_kept(context: Context, count: int) -> None:
+    """Check the size of the only entry."""
+    kept = context.unresolved[TargetIncarnation('a-1', 0)].ends
+    assert len(kept) <= count, len(kept)
+
+
 @then('its standing is {standing}')
 def expect_standing(context: Context, standing: str) -> None:
     """Check how the request may be sent."""
