--- a/review/support/store.py
+++ b/review/support/store.py
@@ -65,8 +65,17 @@
         :param key: The key.
         :param document: Content, which is written as JSON.
         """
+        self.put_bytes(
+            key, json.dumps(document, separators=(',', ':')).encode()
+        )
+
+    def put_bytes(self, key: str, encoded: bytes) -> None:
+        """Write any bytes as the value of a key.
+
+        :param key: The key.
+        :param encoded: The bytes.
+        """
         self.revision += 1
-        encoded = json.dumps(document, separators=(',', ':')).encode()
         known = self.entries.get(key)
         created = known['Created'] if known else self.revision
         entry = {
