--- a/review/support/instances.py
+++ b/review/support/instances.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -15,6 +16,8 @@
 ZONES: Final = ('zone-a', 'zone-b', 'zone-c')
 ROLE: Final = 'entry'
 STOP_SECONDS: Final = 5.0
+# Below the ports that the system uses for outgoing connections.
+PORT_RANGE: Final = (20_000, 32_000)
 PORT_NAMES: Final = ('front', 'ready', 'control', 'directory', 'internal')
 
 SETTINGS: Final = """\
@@ -174,11 +177,10 @@
 
 def _find_free_ports(count: int) -> list[int]:
     with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        return [_bind(probe) for probe in probes]
-
-
-def _bind(probe: socket.socket) -> int:
-    probe.bind((ADDRESS, 0))
-    port: int = probe.getsockname()[1]
-    return port
+        ports: list[int] = []
+        while len(ports) < count:
+            probe = stack.enter_context(socket.socket())
+            with contextlib.suppress(OSError):
+                probe.bind((ADDRESS, random.randrange(*PORT_RANGE)))
+                ports.append(probe.getsockname()[1])
+        return ports
