--- a/review/6/play.py
+++ b/review/6/play.py
@@ -57,7 +57,7 @@
     request = encode('POST /book/drum HTTP/1.1', headers, attempt.encode())
     world.record.add('sent', attempt)
     answer = await world.exchange(world.instances[0], request)
-    world.record.add('answered', attempt, answer.status, answer.headers)
+    world.record.add('answered', attempt, answer.status, answer.head)
 
 
 def _judge(world: World) -> list[str]:
--- a/review/support_2/backend.py
+++ b/review/support_2/backend.py
@@ -94,8 +94,8 @@
             await writer.drain()
 
     async def _answer(self, request: Message) -> bytes:
-        attempt = request.headers.get('x-attempt-id', '')
-        named = request.headers.get('x-target-instance', self.identifier)
+        attempt = request.header('x-attempt-id')
+        named = request.header('x-target-instance', self.identifier)
         if named != self.identifier:
             self._record.add('rejected', attempt, self.identifier)
             return _encode_reply(WRONG_TARGET, {'X-Attempt-Id': attempt}, b'')
--- a/review/support_2/messages.py
+++ b/review/support_2/messages.py
@@ -1,6 +1,7 @@
 """Reading and writing of HTTP/1.1 messages."""
 
 import asyncio
+import re
 from typing import Final, NamedTuple
 
 HEAD_END: Final = b'\r\n\r\n'
@@ -10,20 +11,34 @@
 class Message(NamedTuple):
     """A complete request or reply.
 
-    :param first_line: Request line or status line.
-    :param headers: Values by name in lower case.
+    :param head: First line and headers, as received.
     :param body: The body.
     """
 
-    first_line: str
-    headers: dict[str, str]
-    body: bytes
+    head: bytes
+    body: bytes = b''
+
+    @property
+    def first_line(self) -> str:
+        """Request line or status line."""
+        return self.head.partition(b'\r\n')[0].decode(ENCODING)
 
     @property
     def status(self) -> int:
         """Status of a reply."""
         return int(self.first_line.split()[1])
 
+    def header(self, name: str, default: str = '') -> str:
+        """Look up a header without decoding the others.
+
+        :param name: Its name.
+        :param default: What to return if there is none.
+        :returns: Its value.
+        """
+        pattern = rb'\r\n%b:[ \t]*([^\r]*)' % re.escape(name.encode(ENCODING))
+        found = re.search(pattern, self.head, re.IGNORECASE)
+        return found.group(1).decode(ENCODING) if found else default
+
 
 async def read_head(reader: asyncio.StreamReader) -> Message:
     """Read a head.
@@ -31,13 +46,7 @@
     :param reader: Stream of a connection.
     :returns: A message whose body has not been read.
     """
-    head = (await reader.readuntil(HEAD_END)).decode(ENCODING)
-    first_line, *lines = head.rstrip().split('\r\n')
-    headers: dict[str, str] = {}
-    for line in lines:
-        name, _, text = line.partition(':')
-        headers[name.strip().lower()] = text.strip()
-    return Message(first_line, headers, b'')
+    return Message(await reader.readuntil(HEAD_END))
 
 
 async def read_message(reader: asyncio.StreamReader) -> Message:
@@ -47,7 +56,7 @@
     :returns: The message.
     """
     message = await read_head(reader)
-    size_bytes = int(message.headers.get('content-length', '0'))
+    size_bytes = int(message.header('content-length', '0'))
     return message._replace(body=await reader.readexactly(size_bytes))
 
 
--- a/review/support_2/slow_line.py
+++ b/review/support_2/slow_line.py
@@ -97,7 +97,7 @@
     :returns: What has arrived when the body or the connection ends.
     """
     head = await read_head(line.reader)
-    stated_bytes = int(head.headers.get('content-length', '0'))
+    stated_bytes = int(head.header('content-length', '0'))
     received_bytes = 0
     loop = asyncio.get_running_loop()
     began_seconds = loop.time()
--- a/review/support_2/world.py
+++ b/review/support_2/world.py
@@ -82,7 +82,7 @@
         :param version: Its version.
         :param routes: Its routes.
         """
-        services = sorted({route['Service'] for route in routes})
+        services = sorted(set().union(*map(_list_services, routes)))
         self.store.put(
             'op/config',
             {
@@ -152,6 +152,11 @@
     return reply.status == OK
 
 
+def _list_services(route: dict[str, Any]) -> list[str]:
+    gathered: list[str] = route.get('Gather', [])
+    return gathered or [route['Service']]
+
+
 def make_route(name: str, service: str, **fields: Any) -> dict[str, Any]:
     """Describe a route to one service.
 
@@ -174,6 +179,29 @@
     }
 
 
+def make_search_route(
+    name: str, shards: list[str], **fields: Any
+) -> dict[str, Any]:
+    """Describe a route to the shards of an index.
+
+    :param name: Name of the route, which is its prefix, too.
+    :param shards: Names of their services.
+    :param fields: Fields that differ from those of ``day-sweep``.
+    :returns: The route, as it stands in a configuration.
+    """
+    search = {
+        'TimeoutMs': 1500,
+        'TargetLatencyMs': 183,
+        'Priority': 1,
+        'Gather': shards,
+        'TopK': 50,
+        'MinPartShare': 0.89,
+    }
+    route = make_route(name, '', **search, **fields)
+    route.pop('Service')
+    return route
+
+
 def run_case(play: Play, folder: Path) -> None:
     """Run a case and exit with its result.
 
