--- a/review/support_2/world.py
+++ b/review/support_2/world.py
@@ -19,6 +19,8 @@
 ADDRESS: Final = '127.0.0.1'
 HOST: Final = 'tile33.example'
 READY_SECONDS: Final = 20.0
+# Rules with a time bound hold from StableWindowMs after a start.
+SETTLE_SECONDS: Final = 4.5
 POLL_SECONDS: Final = 0.05
 ANSWER_SECONDS: Final = 15.0
 OK: Final = 200
@@ -65,7 +67,9 @@
             self.instances.append(Instance(position, self._folder))
 
     async def start_instances(self, routes: list[dict[str, Any]]) -> None:
-        """Publish the first configuration, and start all instances.
+        """Publish the first configuration, start all instances, and wait.
+
+        Afterwards they have been in touch for StableWindowMs.
 
         :param routes: The routes.
         """
@@ -75,6 +79,7 @@
             instance.start(self.store.port, seeds)
         for started in self.instances:
             await self._wait_ready(started)
+        await asyncio.sleep(SETTLE_SECONDS)
 
     def publish(self, version: int, routes: list[dict[str, Any]]) -> None:
         """Write a configuration, as the operator does.
