--- a/review/support_2/store.py
+++ b/review/support_2/store.py
@@ -102,7 +102,10 @@
         }
         if parts.path == '/v1/kv-range':
             return self._read_range(query)
-        return await self._watch(query)
+        if parts.path == '/v1/kv-watch':
+            return await self._watch(query)
+        # Instances of another play may dial a port that was theirs before.
+        raise ConnectionError(f'the store does not serve {url}')
 
     def _read_range(self, query: dict[str, str]) -> dict[str, Any]:
         prefix = query.get('Prefix', '')
