Take a reply with a status that HTTP does not allow for none

Callers of published routes got a target's reply with the status 600 or 999 as their answer, with the target's stamp. A status below the range, such as 000 or 099, never reached them.

Cause: the parser accepts every status from 200 to 999 in a final response and rejects only what is below 100, and nothing looked at it after that.

Now a status above 599 ends the exchange as one without a valid reply, as a status below the range does, so that a request that may be repeated goes to another target, and any other fails with 502. Parts of searches and the project's own interface use the same connections; there no such reply counted as a success before either, which the scenarios state from now on.

Evidence: tests/http/statuses.feature, all statuses from 0 to 99 and from 600 to 999, whole answers and parts, both interfaces.

--- a/celeryturn/http/client.py
+++ b/celeryturn/http/client.py
@@ -15,6 +15,7 @@
     IncomingReply,
     ReplyFault,
     append_chunk,
+    check_status,
     count_preceding,
     drop_body,
 )
@@ -237,12 +238,13 @@
         if isinstance(event, h11.Response):
             headers = decode_headers(event.headers)
             self._reply = HttpReply(event.status_code, headers)
-        elif isinstance(event, h11.Data):
+            return self._may_continue(check_status(event.status_code))
+        if isinstance(event, h11.Data):
             chunk = bytes(event.data)
             return self._may_continue(append_chunk(self._incoming, chunk))
-        elif isinstance(event, h11.EndOfMessage):
+        if isinstance(event, h11.EndOfMessage):
             return self._finish_reply()
-        elif isinstance(event, h11.ConnectionClosed):
+        if isinstance(event, h11.ConnectionClosed):
             self._fail(BrokenOffError('connection closed by the server'))
             return False
         return event is not h11.NEED_DATA and event is not h11.PAUSED
--- a/celeryturn/http/incoming_reply.py
+++ b/celeryturn/http/incoming_reply.py
@@ -4,13 +4,14 @@
 
 from celeryturn.http.reply_memory import REPLY_MEMORY, release, reserve
 
+MAX_STATUS: Final = 599
 MAX_REPLY_BYTES: Final = 4_000_000
 # Late replies to earlier requests, and interim responses, before the reply.
 MAX_PRECEDING_REPLIES: Final = 16
 
 
 class ReplyFault(NamedTuple):
-    """Why a reply must not be received any further.
+    """Why a reply must not be received any further, or is none.
 
     :param detail: Description for the log.
     :param is_too_large: Whether its body exceeds :data:`MAX_REPLY_BYTES`.
@@ -36,6 +37,18 @@
         self.preceding_count = 0
 
 
+def check_status(status: int) -> ReplyFault | None:
+    """Check that HTTP allows a status.
+
+    :param status: Status of a reply, which is not below the range, since the
+        parser rejects that.
+    :returns: Why the reply is none, or ``None``.
+    """
+    if status > MAX_STATUS:
+        return ReplyFault(f'{status} is not an HTTP status')
+    return None
+
+
 def append_chunk(incoming: IncomingReply, chunk: bytes) -> ReplyFault | None:
     """Append a chunk of the body.
 
--- /dev/null
+++ b/tests/http/statuses.feature
@@ -0,0 +1,52 @@
+Feature: Replies with a status that HTTP does not allow
+
+  # A target in trouble sent a reply with the status 000, or 999, and the caller
+  # got it as an answer.
+  Scenario: A reply with any status below or above the range of HTTP is none
+    When a server replies with each status from 0 to 99 and from 600 to 999
+    Then no exchange has a reply
+
+  Scenario Outline: A caller of a published route gets a failure of the instance
+    Given a plain route to 1 targets
+    And a target of the route "/raw/" that replies with the status "<status>"
+    When a caller requests "/raw/x"
+    Then the answer has the status 502
+    And the answer has no stamp of a target
+
+    Examples:
+      | status |
+      | 000    |
+      | 099    |
+      | 600    |
+      | 999    |
+
+  Scenario Outline: A caller of a search over shards gets no part with such a status
+    Given a gather route over 4 shards of 1 targets
+    And the targets of <count> shards reply with the status "<status>"
+    When a caller requests "/all/x"
+    Then the answer has the status <answer>
+    And the answer names <part_count> parts
+
+    Examples:
+      | status | count | answer | part_count |
+      | 000    | 1     | 200    | 3          |
+      | 099    | 2     | 502    | 0          |
+      | 600    | 1     | 200    | 3          |
+      | 999    | 2     | 502    | 0          |
+
+  Scenario Outline: The project's own interface has no success from such a reply
+    Given a platform
+    And service "reservas" with 1 shards and 1 replicas each
+    And its targets reply with the status "<status>"
+    And 1 instance that is ready
+    When a caller books "site-0000/0" as "b-1"
+    Then the refusal is CT-307 with status 504, "unknown"
+    When a caller searches "reservas"
+    Then no shard is covered
+
+    Examples:
+      | status |
+      | 000    |
+      | 099    |
+      | 600    |
+      | 999    |
