Count the time for a request from its first byte

A client that sent a head byte by byte kept its connection, and what it had sent of the head, for as long as it went on: no timeout ended it.

Cause: each piece that arrived before the end of the head armed the timer anew, though the limit is documented as the time from the first byte.

Now the timer is armed once for each request. The limit itself is unchanged, so that a request which arrives within it is served as before.

Evidence: the new scenario of tests/entry/requests.feature. On the code before, the instance never rejects the head and the scenario ends by its own time limit; now the head is rejected with 408, not run. The 22 other scenarios of the feature and those of tests/http pass.

--- a/celeryturn/http/server.py
+++ b/celeryturn/http/server.py
@@ -182,6 +182,7 @@
         self._request: HttpRequest | None = None
         self._body = bytearray()
         self._is_head = False
+        self._is_receiving = False
         self._pipelined_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -203,7 +204,9 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Feed the parser and enforce the request timeout."""
-        if self._request is None and self.task is None:
+        if self.task is None and not self._is_receiving:
+            # The time counts from the first byte, whatever follows it.
+            self._is_receiving = True
             seconds = self._server.limits.request_seconds
             self._timer.arm(seconds, self._reject_slow_request)
         if self.task is None or self._accept_pipelined(chunk):
@@ -300,6 +303,7 @@
 
     def _finish_request(self) -> None:
         self._timer.disarm()
+        self._is_receiving = False
         if self._request is not None:
             request = self._request._replace(body=bytes(self._body))
             self.task = asyncio.get_running_loop().create_task(
--- a/tests/entry/requests.feature
+++ b/tests/entry/requests.feature
@@ -53,6 +53,14 @@
     Then the refusal is CT-106 with status 408, "not_run"
     And the connection is closed
 
+  # Each piece of a head began the time for the request anew, so that a head
+  # could be kept open for good.
+  Scenario: A head that arrives byte by byte does not arrive in time either
+    Given requests must be complete within 0.1 seconds
+    When a caller sends a head without end, byte by byte
+    Then the refusal is CT-106 with status 408, "not_run"
+    And the connection is closed
+
   Scenario: A request that is cut off
     When a caller sends the bytes "POST /v1/search HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nabc" and closes
     Then the instance has no caller connections left
--- a/tests/steps/requests.py
+++ b/tests/steps/requests.py
@@ -18,6 +18,7 @@
 from tests.support.world import WAIT_SECONDS, World, until
 
 SEED = 11
+HEAD_BYTE_SECONDS = 0.01
 
 
 @given('requests must be complete within {seconds:g} seconds')
@@ -88,6 +89,25 @@
     _send_raw(context, _unescape(escaped))
 
 
+@when('a caller sends a head without end, byte by byte')
+def send_endless_head(context: Context) -> None:
+    """Send bytes of a head until the instance closes the connection."""
+
+    async def run_exchange() -> bytes:
+        reader, writer = await asyncio.open_connection(*context.world.place())
+        reading = asyncio.create_task(reader.read())
+        writer.write(b'GET / HTTP/1.1\r\nx: ')
+        async with asyncio.timeout(WAIT_SECONDS):
+            while not reading.done():
+                writer.write(b'y')
+                await asyncio.sleep(HEAD_BYTE_SECONDS)
+        writer.close()
+        return await reading
+
+    context.raw = context.loop.run_until_complete(run_exchange())
+    _record_raw(context)
+
+
 @when('a caller sends two requests in one packet')
 def send_two_requests(context: Context) -> None:
     """Send two pipelined requests."""
@@ -479,6 +499,10 @@
         return received
 
     context.raw = context.loop.run_until_complete(run_exchange())
+    _record_raw(context)
+
+
+def _record_raw(context: Context) -> None:
     context.is_closed = True
     head, _, body = context.raw.partition(b'\r\n\r\n')
     status = int(head.split()[1])
