Charge what clients hold to one account of the process

What callers saw: a crowd of clients ended a process, which ran out of memory, and with it every request that it had. Each client kept to the limits of the configuration: large bodies short of their end, in one piece, in pieces, in chunks of 16 KB or of one byte; requests sent ahead with their answers unread; heads short of their end. Idle connections took all descriptors, and then it was the newcomer that got none.

Cause: each connection had limits of its own and nothing bounded their sum. 400 bodies of 256 KB take 100 MB. Unread answers alone had a common limit of 32 MB, whatever the memory of the process. The buffers of the system grew to 0.4 MB of received and 4 MB of written bytes for a connection that was not read. Each port had its own limit on connections.

Change: one account for the process, derived from its own limits on memory and descriptors, is charged for all of it, at all ports of both interfaces and for links that others open. When there is no room, the connection that has waited for its client the longest gives way: idle, with a request that does not go on, or with an answer that is not read. What can't be served is refused at once with 503 and Retry-After. Buffers of the system have a size. An answer is abandoned when its caller has read nothing for 10 s, no longer when it has not read all of it by then, so that slow callers are cut off less than before. The common limit of unread answers and of replies, and the one of the callers' port, are gone.

Tests changed: the limits that two steps lower have moved, and are now three quarters of the account for what is large, so that the steps set it by that share; what the scenarios state and their bounds are the same.

--- a/celeryturn/daemon.py
+++ b/celeryturn/daemon.py
@@ -5,6 +5,8 @@
 import sys
 
 from celeryturn.app import Application
+from celeryturn.clients.account import CLIENT_ACCOUNT, apply_limits
+from celeryturn.clients.process_limits import read_process_limits
 from celeryturn.command_line import run_command_line
 from celeryturn.errors import CeleryturnError
 from celeryturn.events import START_FAILED, log, log_to
@@ -21,6 +23,7 @@
     :param settings: Settings of the instance.
     :raises CeleryturnError: If the instance cannot start.
     """
+    apply_limits(CLIENT_ACCOUNT, read_process_limits())
     application = Application(settings)
     await application.start()
     loop = asyncio.get_running_loop()
--- a/celeryturn/forwarding/operations/gauges.py
+++ b/celeryturn/forwarding/operations/gauges.py
@@ -5,6 +5,7 @@
 
 from aioprometheus.collectors import Gauge
 
+from celeryturn.clients.account import CLIENT_ACCOUNT
 from celeryturn.decisions.fleet import membership
 from celeryturn.decisions.load import extra_load
 from celeryturn.decisions.load.cold_share import remaining_cold_seconds
@@ -57,6 +58,10 @@
     ('requests_under_way', 'Requests that are being forwarded'),
     ('unread_answer_bytes', 'Bytes that callers have not read'),
     ('unread_request_bytes', 'Bytes that targets and the store have not read'),
+    ('client_bytes', 'Bytes held for clients and targets'),
+    ('client_limit_bytes', 'Bytes that may be held for them'),
+    ('client_connections', 'Open connections of clients, at all ports'),
+    ('clients_closed', 'Connections closed since others needed the room'),
     ('answers_abandoned', 'Answers abandoned, since callers did not read them'),
     (
         'reads_waiting',
@@ -108,6 +113,7 @@
     gauges['requests_under_way'].set({}, len(shared.in_flight))
     _set_standings(shared.route_states.quarantine, gauges)
     _set_unread(gauges)
+    _set_clients(gauges)
     gauges['reads_waiting'].set({}, waiting_count(TURN_SCHEDULER))
     gauges['slices_waited'].set({}, TURN_SCHEDULER.slice_count)
 
@@ -228,6 +234,13 @@
         gauges['store_calls'].set({'kind': call}, call_count)
 
 
+def _set_clients(gauges: dict[str, Gauge]) -> None:
+    gauges['client_bytes'].set({}, CLIENT_ACCOUNT.used_bytes)
+    gauges['client_limit_bytes'].set({}, CLIENT_ACCOUNT.limit_bytes)
+    gauges['client_connections'].set({}, CLIENT_ACCOUNT.connection_count)
+    gauges['clients_closed'].set({}, CLIENT_ACCOUNT.closed_count)
+
+
 def _set_unread(gauges: dict[str, Gauge]) -> None:
     gauges['unread_answer_bytes'].set({}, UNREAD_ANSWERS.used_bytes)
     gauges['unread_request_bytes'].set({}, UNREAD_REQUESTS.used_bytes)
--- a/celeryturn/forwarding/request/answering.py
+++ b/celeryturn/forwarding/request/answering.py
@@ -32,9 +32,7 @@
     :param collectors: Metric collectors of the instance.
     :returns: The server, which is not listening yet.
     """
-    server = HttpServer(make_answerer(shared, collectors), refusal_reply)
-    server.limits.max_connections = shared.settings.max_connection_count
-    return server
+    return HttpServer(make_answerer(shared, collectors), refusal_reply)
 
 
 def make_answerer(
--- a/celeryturn/forwarding/settings.py
+++ b/celeryturn/forwarding/settings.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from celeryturn.clients.process_limits import ProcessLimits
 from celeryturn.decisions.load.cold_share import ColdBounds
 from celeryturn.decisions.load.extra_load import ExtraLoadBounds
 from celeryturn.settings import Endpoint, Settings
@@ -28,8 +29,7 @@
     :param directory: Endpoint that advises callers of addresses.
     :param metrics: Endpoint that serves metrics and state.
     :param seeds: Peers to contact first; some may no longer exist.
-    :param max_connection_count: Maximum number of connections from callers
-        that the file descriptors allow.
+    :param limits: Limits of the process.
     :param extra_load: Bounds on hedges and retries of all instances together.
     :param grace: Times of a graceful shutdown.
     :param limits_zone_spillover: Whether a limited share of the requests may
@@ -44,7 +44,7 @@
     directory: Endpoint
     metrics: Endpoint
     seeds: tuple[Endpoint, ...]
-    max_connection_count: int
+    limits: ProcessLimits
     extra_load: ExtraLoadBounds
     grace: Grace
     cold_bounds: ColdBounds | None = None
--- a/celeryturn/http/client.py
+++ b/celeryturn/http/client.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from celeryturn.clients.buffers import limit_send_buffer
 from celeryturn.clock import boottime_seconds
 from celeryturn.http.incoming_bytes import unparsed_size
 from celeryturn.http.incoming_reply import (
@@ -359,7 +360,9 @@
             port,
             local_addr=(local_address, 0) if local_address else None,
         )
-    _enable_keepalive(transport.get_extra_info('socket'))
+    connected_socket = transport.get_extra_info('socket')
+    _enable_keepalive(connected_socket)
+    limit_send_buffer(connected_socket)
     return connection
 
 
--- a/celeryturn/http/counted_writes.py
+++ b/celeryturn/http/counted_writes.py
@@ -2,12 +2,7 @@
 
 import asyncio
 
-from celeryturn.http.unsent_bytes import (
-    Unsent,
-    UnsentBytes,
-    record_sent,
-    record_unsent,
-)
+from celeryturn.http.unsent_bytes import UnsentBytes, record_unsent
 
 
 class CountedWrites(asyncio.Protocol):
@@ -30,7 +25,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Release what the connection held."""
-        record_sent(self._unsent, id(self))
+        record_unsent(self._unsent, id(self), 0)
 
     def pause_writing(self) -> None:
         """Note that the other side does not take what was written."""
@@ -39,11 +34,10 @@
     def resume_writing(self) -> None:
         """Note that the other side has taken all that was written."""
         self._is_unread = False
-        record_sent(self._unsent, id(self))
+        record_unsent(self._unsent, id(self), 0)
 
     def _write(self, encoded: bytes | None) -> None:
         if encoded and self._transport is not None:
             self._transport.write(encoded)
-            if self._is_unread:
-                held = Unsent(len(encoded), self._transport.abort)
-                record_unsent(self._unsent, id(self), held)
+            if self._is_unread and not self._transport.is_closing():
+                record_unsent(self._unsent, id(self), len(encoded))
--- a/celeryturn/http/reply_memory.py
+++ b/celeryturn/http/reply_memory.py
@@ -1,4 +1,4 @@
-"""Memory that replies of targets may take together in this process.
+"""Memory that replies of targets take together in this process.
 
 The limit of a single reply does not bound the sum: a request to many shards
 receives as many replies at once.
@@ -6,7 +6,13 @@
 
 from typing import Final
 
-MAX_BUFFERED_BYTES: Final = 32_000_000
+from celeryturn.clients.account import (
+    CLIENT_ACCOUNT,
+    ClientAccount,
+    charge,
+    make_room,
+)
+
 # A reply up to this size is received however much the others take.
 GUARANTEED_REPLY_BYTES: Final = 65_536
 
@@ -14,15 +20,15 @@
 class ReplyMemory:
     """Bytes of replies that are being received or not used yet.
 
+    :param account: Account that they are charged to.
     :param used_bytes: Bytes held at present.
-    :param max_bytes: Bytes above which replies may not grow any more.
     """
 
-    __slots__ = ('max_bytes', 'used_bytes')
+    __slots__ = ('account', 'used_bytes')
 
-    def __init__(self, max_bytes: int = MAX_BUFFERED_BYTES) -> None:
+    def __init__(self, account: ClientAccount) -> None:
+        self.account = account
         self.used_bytes = 0
-        self.max_bytes = max_bytes
 
 
 def reserve(memory: ReplyMemory, reply_bytes: int, added_bytes: int) -> bool:
@@ -32,22 +38,25 @@
     :param reply_bytes: Bytes of this reply that are already reserved.
     :param added_bytes: Further bytes.
     :returns: Whether they were reserved; ``False`` if the reply is larger than
-        :data:`GUARANTEED_REPLY_BYTES` and the memory of all replies is used up.
+        :data:`GUARANTEED_REPLY_BYTES` and no connection of a client gives way
+        to it.
     """
-    is_small = reply_bytes + added_bytes <= GUARANTEED_REPLY_BYTES
-    if not is_small and memory.used_bytes + added_bytes > memory.max_bytes:
+    size_bytes = reply_bytes + added_bytes
+    has_room = make_room(memory.account, size_bytes, added_bytes)
+    if size_bytes > GUARANTEED_REPLY_BYTES and not has_room:
         return False
-    memory.used_bytes += added_bytes
+    hold(memory, added_bytes)
     return True
 
 
-def hold(memory: ReplyMemory, reply_bytes: int) -> None:
-    """Record a complete reply that is kept until its request has ended.
+def hold(memory: ReplyMemory, held_bytes: int) -> None:
+    """Record bytes that are kept until a request has ended.
 
     :param memory: Memory of all replies.
-    :param reply_bytes: Size of its body in bytes.
+    :param held_bytes: Bytes to hold.
     """
-    memory.used_bytes += reply_bytes
+    memory.used_bytes += held_bytes
+    charge(memory.account, held_bytes)
 
 
 def release(memory: ReplyMemory, released_bytes: int) -> None:
@@ -57,6 +66,7 @@
     :param released_bytes: Bytes to release.
     """
     memory.used_bytes -= released_bytes
+    charge(memory.account, -released_bytes)
 
 
-REPLY_MEMORY: Final = ReplyMemory()
+REPLY_MEMORY: Final = ReplyMemory(CLIENT_ACCOUNT)
--- a/celeryturn/http/server.py
+++ b/celeryturn/http/server.py
@@ -6,8 +6,17 @@
 
 import h11
 
+from celeryturn.clients.account import (
+    CLIENT_ACCOUNT,
+    HEADER_BYTES,
+    REQUEST_BYTES,
+    serve_client,
+    wait_for_client,
+)
+from celeryturn.clients.buffers import limit_buffers
 from celeryturn.errors import ANSWERS, CeleryturnError, Kind
 from celeryturn.events import INTERNAL_FAULT, log
+from celeryturn.http.charged_connection import ChargedConnection
 from celeryturn.http.incoming_bytes import unparsed_size
 from celeryturn.http.messages import (
     HttpReply,
@@ -15,12 +24,6 @@
     decode_headers,
     encode_headers,
 )
-from celeryturn.http.sliced_reads import SlicedReads
-from celeryturn.http.unsent_bytes import (
-    UNREAD_ANSWER_SECONDS,
-    UNREAD_ANSWERS,
-    abandon,
-)
 from celeryturn.timer import Timer
 
 RequestHandler: TypeAlias = Callable[[HttpRequest], Awaitable[HttpReply]]
@@ -30,9 +33,11 @@
 MAX_HEAD_BYTES: Final = 16_384
 REQUEST_TIMEOUT_SECONDS: Final = 5.0
 IDLE_TIMEOUT_SECONDS: Final = 60.0
-MAX_CONNECTIONS: Final = 4096
 LINGER_SECONDS: Final = 0.2
 PARSER_BUFFER_FACTOR: Final = 2
+# Data of later requests that a caller may send before its answer, without
+# giving way to others while it waits for the answer.
+FREE_AHEAD_BYTES: Final = 16_384
 
 
 ProtocolFactory: TypeAlias = Callable[['HttpServer'], 'ServerConnection']
@@ -47,7 +52,8 @@
         until it is complete.
     :param idle_seconds: Maximum time between requests of a connection.
     :param max_connections: Maximum number of open connections; further ones
-        are closed immediately.
+        are closed immediately.  Zero for no limit other than the one of the
+        process.
     """
 
     __slots__ = (
@@ -63,7 +69,7 @@
         body_bytes: int = MAX_BODY_BYTES,
         request_seconds: float = REQUEST_TIMEOUT_SECONDS,
         idle_seconds: float = IDLE_TIMEOUT_SECONDS,
-        max_connections: int = MAX_CONNECTIONS,
+        max_connections: int = 0,
         head_bytes: int = MAX_HEAD_BYTES,
     ) -> None:
         self.body_bytes = body_bytes
@@ -111,8 +117,14 @@
         """
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
-            lambda: self._protocol_factory(self), address, port
+            lambda: self._protocol_factory(self),
+            address,
+            port,
+            start_serving=False,
         )
+        # Connections inherit the sizes of the socket that accepts them.
+        limit_buffers(self._listener.sockets)
+        await self._listener.start_serving()
 
     @property
     def port(self) -> int:
@@ -157,12 +169,11 @@
             remaining.close()
 
 
-class ServerConnection(SlicedReads):
+class ServerConnection(ChargedConnection):
     """A connection of a caller; its requests are answered in order.
 
     While the caller has not read an answer, nothing is read from it and its
-    next request is not handled.  The answer is abandoned after
-    :data:`UNREAD_ANSWER_SECONDS`.
+    next request is not handled.
 
     :param task: Task that handles the current request, if any.
     """
@@ -170,7 +181,6 @@
     def __init__(self, server: HttpServer) -> None:
         max_buffer_bytes = PARSER_BUFFER_FACTOR * server.limits.head_bytes
         super().__init__(
-            UNREAD_ANSWERS,
             lambda: h11.Connection(
                 h11.SERVER, max_incomplete_event_size=max_buffer_bytes
             ),
@@ -178,53 +188,36 @@
         self.task: asyncio.Task[None] | None = None
         self._server = server
         self._timer = Timer()
-        self._unread_timer = Timer()
         self._request: HttpRequest | None = None
+        self._request_bytes = 0
         self._body = bytearray()
         self._is_head = False
         self._is_receiving = False
-        self._pipelined_bytes = 0
+        self._ahead_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and start the idle timeout."""
-        super().connection_made(transport)
         self._server.connections.add(self)
-        if len(self._server.connections) > self._server.limits.max_connections:
-            self.close()
         self._timer.arm(self._server.limits.idle_seconds, self.close)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the request in flight, because its caller has disconnected."""
-        super().connection_lost(exc)
-        self._timer.disarm()
-        self._unread_timer.disarm()
-        self._server.connections.discard(self)
-        if self.task is not None:
-            self.task.cancel()
+        super().connection_made(transport)
+        max_connections = self._server.limits.max_connections
+        if 0 < max_connections < len(self._server.connections):
+            self.close()
 
     def data_received(self, chunk: bytes) -> None:
         """Feed the parser and enforce the request timeout."""
-        if self.task is None and not self._is_receiving:
-            # The time counts from the first byte, whatever follows it.
-            self._is_receiving = True
-            seconds = self._server.limits.request_seconds
-            self._timer.arm(seconds, self._reject_slow_request)
-        if self.task is None or self._accept_pipelined(chunk):
+        if self.task is None:
+            self._begin_receiving()
             self._receive(chunk)
-
-    def pause_writing(self) -> None:
-        """Stop reading, because the caller does not read its answer."""
-        super().pause_writing()
-        self._unread_timer.arm(UNREAD_ANSWER_SECONDS, self._abandon)
-        self._update_reading()
+        elif self._accept_ahead(chunk):
+            self._receive(chunk)
+            self._charge()
 
     def resume_writing(self) -> None:
         """Go on with the next request, because the answer was read."""
         super().resume_writing()
-        self._unread_timer.disarm()
         if self._transport is None or self._transport.is_closing():
             return
-        self._update_reading()
         if self._bytes.machine.our_state is h11.DONE:
             self._start_next_cycle()
 
@@ -243,25 +236,51 @@
         if not (is_busy or self._is_waiting):
             self.close()
 
-    def _accept_pipelined(self, chunk: bytes) -> bool:
+    def _held_bytes(self) -> int:
+        received_bytes = len(self._bytes.received)
+        return (
+            self._bytes.head_bytes
+            + self._request_bytes
+            + len(self._body)
+            + max(received_bytes, self._ahead_bytes)
+        )
+
+    def _refuse(self) -> None:
+        # A request that is not complete has not run, and its caller is told.
+        if self._is_receiving:
+            detail = 'no memory is left for the request'
+            self._reject(CeleryturnError(Kind.OVERLOADED, detail))
+
+    def _discard(self) -> None:
+        super()._discard()
+        self._timer.disarm()
+        self._server.connections.discard(self)
+        self._body.clear()
+        if self.task is not None:
+            # Its caller has disconnected.
+            self.task.cancel()
+
+    def _accept_ahead(self, chunk: bytes) -> bool:
         # Reading continues while a request is handled, so that a disconnect
-        # of the caller is detected.  Pipelined data is kept up to a limit.
-        self._pipelined_bytes += len(chunk)
-        is_allowed = self._pipelined_bytes <= self._server.limits.body_bytes
+        # of the caller is detected.  Data is kept up to a limit.
+        self._ahead_bytes += len(chunk)
+        is_allowed = self._ahead_bytes <= self._server.limits.body_bytes
         if not is_allowed:
             self.close()
+        elif self._ahead_bytes > FREE_AHEAD_BYTES:
+            wait_for_client(CLIENT_ACCOUNT, self._holding)
         return is_allowed
 
-    def _abandon(self) -> None:
-        if id(self) in UNREAD_ANSWERS.held:
-            abandon(UNREAD_ANSWERS, id(self))
+    def _begin_receiving(self) -> None:
+        if not self._is_receiving:
+            self._is_receiving = True
+            seconds = self._server.limits.request_seconds
+            self._timer.arm(seconds, self._reject_slow_request)
+            wait_for_client(CLIENT_ACCOUNT, self._holding)
 
     def _may_parse(self) -> bool:
         return self.task is None and super()._may_parse()
 
-    def _may_read(self) -> bool:
-        return not self._is_unread and super()._may_read()
-
     def _handle_violation(self, error: h11.RemoteProtocolError) -> None:
         self._reject(_protocol_error(error))
 
@@ -287,9 +306,11 @@
         return False
 
     def _begin_request(self, event: h11.Request) -> None:
-        self._body.clear()
+        self._begin_receiving()
         self._is_head = event.method == b'HEAD'
-        _check_head_size(event, self._server.limits.head_bytes)
+        head_bytes = _head_size(event)
+        _check_head_size(head_bytes, self._server.limits.head_bytes)
+        self._request_bytes = head_bytes + HEADER_BYTES * len(event.headers)
         self._request = HttpRequest(
             event.method.decode('latin-1'),
             event.target.decode('latin-1'),
@@ -303,9 +324,15 @@
 
     def _finish_request(self) -> None:
         self._timer.disarm()
-        self._is_receiving = False
-        if self._request is not None:
-            request = self._request._replace(body=bytes(self._body))
+        if self._request is None:
+            return
+        request = self._request._replace(body=bytes(self._body))
+        self._body.clear()
+        self._request_bytes += REQUEST_BYTES + len(request.body)
+        self._ahead_bytes = unparsed_size(self._bytes)
+        if self._charge():
+            self._is_receiving = False
+            serve_client(CLIENT_ACCOUNT, self._holding)
             self.task = asyncio.get_running_loop().create_task(
                 self._handle_request(request)
             )
@@ -317,7 +344,9 @@
             reply = self._server.error_handler(error)
         self.task = None
         self._request = None
+        self._request_bytes = 0
         self._write_reply(reply, is_last=self._server.is_closing)
+        self._charge()
         self._start_next_cycle()
 
     def _start_next_cycle(self) -> None:
@@ -330,10 +359,15 @@
             machine.start_next_cycle()
             self._is_head = False
             self._timer.arm(self._server.limits.idle_seconds, self.close)
+            wait_for_client(CLIENT_ACCOUNT, self._holding)
+            if self._ahead_bytes:
+                # The parser has the rest.
+                self._bytes.head_bytes = self._ahead_bytes - len(
+                    self._bytes.received
+                )
+                self._ahead_bytes = 0
+                self._begin_receiving()
             self._parse()
-            if self._pipelined_bytes:
-                # What is not parsed yet counts against the limit.
-                self._pipelined_bytes = unparsed_size(self._bytes)
 
     def _reject_slow_request(self) -> None:
         seconds = self._server.limits.request_seconds
@@ -380,11 +414,14 @@
     return b''.join(machine.send(event) or b'' for event in events)
 
 
-def _check_head_size(event: h11.Request, limit_bytes: int) -> None:
-    # The parser limits only heads that arrive in several parts.
-    size_bytes = len(event.target) + sum(
+def _head_size(event: h11.Request) -> int:
+    return len(event.target) + sum(
         len(name) + len(text) for name, text in event.headers
     )
+
+
+def _check_head_size(size_bytes: int, limit_bytes: int) -> None:
+    # The parser limits only heads that arrive in several parts.
     if size_bytes > limit_bytes:
         raise CeleryturnError(
             Kind.TOO_LARGE, f'request head is larger than {limit_bytes} bytes'
--- a/celeryturn/node_daemon.py
+++ b/celeryturn/node_daemon.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Final
 
+from celeryturn.clients.account import CLIENT_ACCOUNT, apply_limits
 from celeryturn.errors import CeleryturnError
 from celeryturn.events import RELOADED, START_FAILED, log, log_to
 from celeryturn.forwarding.app import ForwardingApplication
@@ -30,6 +31,7 @@
         nanoseconds.
     :raises CeleryturnError: If the instance cannot start.
     """
+    apply_limits(CLIENT_ACCOUNT, settings.limits)
     application = ForwardingApplication(settings)
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
@@ -92,5 +94,6 @@
     except CeleryturnError as error:
         log(RELOADED, outcome='refused', detail=str(error))
         return
+    apply_limits(CLIENT_ACCOUNT, settings.limits)
     application.apply_settings(settings)
     log(RELOADED, outcome='in force')
--- a/celeryturn/peers/dialling.py
+++ b/celeryturn/peers/dialling.py
@@ -7,6 +7,7 @@
 from websockets.asyncio.server import serve
 from websockets.exceptions import WebSocketException
 
+from celeryturn.clients.buffers import limit_buffers
 from celeryturn.decisions.fleet import membership, neighbours
 from celeryturn.decisions.fleet.delegates import linked_delegates, settle
 from celeryturn.decisions.store_position import NO_POSITION
@@ -39,6 +40,7 @@
         ping_interval=None,
         create_connection=AcceptedSocket,
     )
+    limit_buffers(network.server.sockets)
 
 
 async def gossip(network: Network) -> None:
--- a/celeryturn/peers/links.py
+++ b/celeryturn/peers/links.py
@@ -9,6 +9,7 @@
 from websockets.asyncio.server import ServerConnection
 from websockets.exceptions import WebSocketException
 
+from celeryturn.clients.account import CLIENT_ACCOUNT, charge
 from celeryturn.decisions.fleet.dissemination import (
     News,
     add_news,
@@ -17,6 +18,7 @@
 )
 from celeryturn.decisions.fleet.membership import Member
 from celeryturn.peers import encoding, messages
+from celeryturn.peers.sockets import AcceptedSocket
 from celeryturn.timer import Timer
 
 Socket: TypeAlias = ClientConnection | ServerConnection
@@ -129,6 +131,18 @@
         enqueue(link, messages.Members(taken))
 
 
+async def receive(link: PeerLink) -> bytes:
+    """Receive a message.
+
+    :param link: The link.
+    :returns: The encoded message.
+    """
+    encoded = await link.socket.recv(decode=False)
+    if isinstance(link.socket, AcceptedSocket):
+        link.socket.record_message()
+    return bytes(encoded)
+
+
 async def send_queued(
     link: PeerLink, on_sent: Callable[[messages.Message, int], None]
 ) -> None:
@@ -141,10 +155,12 @@
         message = await link.queue.get()
         encoded = encoding.pack(message)
         on_sent(message, len(encoded))
+        charge(CLIENT_ACCOUNT, len(encoded))
         try:
             await link.socket.send(encoded)
         except (OSError, WebSocketException):
             link.socket.transport.abort()
             return
         finally:
+            charge(CLIENT_ACCOUNT, -len(encoded))
             link.queue.task_done()
--- a/celeryturn/peers/sessions.py
+++ b/celeryturn/peers/sessions.py
@@ -33,6 +33,7 @@
     LinkPurpose,
     PeerLink,
     enqueue,
+    receive,
     send_queued,
     tell_news,
 )
@@ -127,8 +128,8 @@
     idle_seconds = network.instance.settings.timing.peer_idle_seconds
     for number in itertools.count(1):
         async with asyncio.timeout(idle_seconds):
-            encoded = await link.socket.recv(decode=False)
-        message = encoding.unpack(bytes(encoded))
+            encoded = await receive(link)
+        message = encoding.unpack(encoded)
         if message is not None:
             _handle_message(network, link, message)
         if not number % MESSAGES_PER_TURN:
--- a/celeryturn/platform/node_settings.py
+++ b/celeryturn/platform/node_settings.py
@@ -1,9 +1,14 @@
 """Decoding of the settings file that the platform writes for a process."""
 
+import math
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Final
 
+from celeryturn.clients.process_limits import (
+    ProcessLimits,
+    read_process_limits,
+)
 from celeryturn.decisions.load.cold_share import ColdBounds
 from celeryturn.decisions.load.extra_load import ExtraLoadBounds
 from celeryturn.errors import CeleryturnError, Fault, Kind
@@ -15,16 +20,12 @@
 NEIGHBOUR_COUNT: Final = 3
 PEER_IDLE_SECONDS: Final = 3.0
 EXTRA_LOAD_DEFAULTS: Final = ExtraLoadBounds()
-DEFAULT_DESCRIPTOR_COUNT: Final = 1024
 # A sub-request with its reply takes half a millisecond of a core, and a reply
 # of a kilobyte with its headers takes 80 microseconds of a link of 100 Mbit/s.
 SUB_REQUESTS_PER_CORE_SECOND: Final = 2000
 SUB_REQUESTS_PER_MEGABIT: Final = 125
 MAX_SETTING: Final = 1e9
-# Descriptors reserved for files.  Callers get a fraction of the others, so that
-# some are left for connections to targets.
-FILE_DESCRIPTOR_COUNT: Final = 200
-CALLER_DESCRIPTOR_SHARE: Final = 0.7
+BYTES_PER_MEGABYTE: Final = 1_000_000
 
 # Names that the platform gives to the addresses an instance listens on.
 _CALLERS_FIELD: Final = 'Listen.Front'
@@ -64,7 +65,7 @@
         # The first of the ports that are free for the product's own traffic.
         metrics=Endpoint(reader.text('Ip'), reader.first_port('InternalPorts')),
         seeds=reader.endpoints('Seeds'),
-        max_connection_count=_read_connection_count(reader),
+        limits=_read_process_limits(reader),
         extra_load=ExtraLoadBounds(
             reader.number('Bounds.RetryBudgetRatio', EXTRA_LOAD_DEFAULTS.ratio),
             reader.number(
@@ -132,10 +133,15 @@
     )
 
 
-def _read_connection_count(reader: '_Reader') -> int:
-    descriptor_count = reader.number('Limits.MaxFds', DEFAULT_DESCRIPTOR_COUNT)
-    usable_count = descriptor_count - FILE_DESCRIPTOR_COUNT
-    return max(1, int(CALLER_DESCRIPTOR_SHARE * usable_count))
+def _read_process_limits(reader: '_Reader') -> ProcessLimits:
+    own = read_process_limits()
+    # Zero stands for a limit that is not known.
+    memory_bytes = BYTES_PER_MEGABYTE * reader.number('Limits.MemoryMb', 0)
+    descriptor_count = reader.number('Limits.MaxFds', 0)
+    return ProcessLimits(
+        int(min(memory_bytes or math.inf, own.memory_bytes)),
+        int(min(descriptor_count or math.inf, own.descriptor_count)),
+    )
 
 
 def _parse_lines(text: str) -> Mapping[str, str]:
--- a/tests/steps/endless_replies.py
+++ b/tests/steps/endless_replies.py
@@ -5,6 +5,7 @@
 from behave import given, then
 from behave.runner import Context
 
+from celeryturn.clients.account import CLIENT_ACCOUNT, LARGE_SHARE
 from celeryturn.http import incoming_reply
 from celeryturn.http.reply_memory import REPLY_MEMORY, reserve
 from standins.shard_target import Fault
@@ -14,7 +15,9 @@
 @given('replies may take {count:d} bytes together')
 def limit_memory(context: Context, count: int) -> None:
     """Lower the limit, and record the largest use of memory."""
-    limit = mock.patch.object(REPLY_MEMORY, 'max_bytes', count)
+    limit = mock.patch.object(
+        CLIENT_ACCOUNT, 'limit_bytes', int(count / LARGE_SHARE)
+    )
     limit.start()
     context.add_cleanup(limit.stop)
     context.max_used_bytes = 0
--- a/tests/steps/slow_readers.py
+++ b/tests/steps/slow_readers.py
@@ -11,7 +11,8 @@
 from behave.runner import Context
 
 from celeryturn.decisions.targets.directory import serving_replicas
-from celeryturn.http import server as http_server
+from celeryturn.clients.account import CLIENT_ACCOUNT, LARGE_SHARE
+from celeryturn.http import charged_connection
 from celeryturn.http.client import Connection, connect
 from celeryturn.http.messages import HttpRequest
 from celeryturn.http.server import ServerConnection
@@ -43,13 +44,14 @@
 @given('an answer is abandoned after {seconds:g} s')
 def shorten_wait(context: Context, seconds: float) -> None:
     """Lower the time for which an unread answer is kept."""
-    _patch(context, http_server, 'UNREAD_ANSWER_SECONDS', seconds)
+    _patch(context, charged_connection, 'UNREAD_ANSWER_SECONDS', seconds)
 
 
 @given('unread answers may take {count:d} bytes together')
 def limit_unread(context: Context, count: int) -> None:
-    """Lower the limit."""
-    _patch(context, UNREAD_ANSWERS, 'max_bytes', count)
+    """Lower the limit of all that is held."""
+    limit_bytes = int(count / LARGE_SHARE)
+    _patch(context, CLIENT_ACCOUNT, 'limit_bytes', limit_bytes)
 
 
 @given(
--- a/tests/support/routed.py
+++ b/tests/support/routed.py
@@ -8,6 +8,7 @@
 import msgspec
 from behave.runner import Context
 
+from celeryturn.clients.process_limits import DEFAULT_LIMITS
 from celeryturn.decisions.load.cold_share import ColdBounds
 from celeryturn.decisions.load.extra_load import ExtraLoadBounds
 from celeryturn.forwarding.app import ForwardingApplication
@@ -142,7 +143,7 @@
             directory=directory,
             metrics=metrics,
             seeds=self._peer_endpoints() if seeds is None else seeds,
-            max_connection_count=1000,
+            limits=DEFAULT_LIMITS,
             extra_load=ExtraLoadBounds(),
             limits_zone_spillover=True,
             grace=Grace(
