Answer operators' requests one in each turn of the event loop

What callers saw: while 400 clients sent requests for metrics ahead and read no answer, an ordinary request was not answered in 30 s.

Cause: metrics take about a millisecond to render. Each of the connections had one rendered in each turn of the event loop, so that a turn took close to half a second, and a forwarded request takes several turns.

Change: the handler of the port for metrics, state and explanations answers one request in each turn; others wait for theirs in order. Readiness and addresses are cheap and stay as they are.

Evidence: the new row of tests/http/crowds.feature. It fails on the code before the account of clients with the 30 s above, and with the account alone with 104.7 MB where 100 are allowed, since so many answers were rendered at once; now it holds.

--- a/celeryturn/forwarding/operations/auxiliary_listeners.py
+++ b/celeryturn/forwarding/operations/auxiliary_listeners.py
@@ -14,8 +14,9 @@
 from celeryturn.forwarding.operations.metrics import ForwardingMetrics
 from celeryturn.forwarding.request.refusals import refusal_reply
 from celeryturn.forwarding.shared_state import SharedState
+from celeryturn.http import server as http_server
 from celeryturn.http.messages import HttpReply, HttpRequest, json_reply
-from celeryturn.http.server import HttpServer
+from celeryturn.http.one_each_turn import one_each_turn
 from celeryturn.queries.explain_route import (
     is_explain_request,
     run_explain_request,
@@ -38,7 +39,7 @@
     """
 
     endpoint: Endpoint
-    server: HttpServer
+    server: http_server.HttpServer
 
 
 def make_auxiliary_listeners(
@@ -51,12 +52,15 @@
     :returns: Listeners whose servers have not been started.
     """
     settings = shared.settings
+    operate = _make_answerer(shared, _make_operator_handler(collectors))
     return (
-        _make_listener(shared, settings.ready, answer_readiness),
-        _make_listener(shared, settings.directory, answer_advice),
         _make_listener(
-            shared, settings.metrics, _make_operator_handler(collectors)
+            settings.ready, _make_answerer(shared, answer_readiness)
         ),
+        _make_listener(
+            settings.directory, _make_answerer(shared, answer_advice)
+        ),
+        _make_listener(settings.metrics, one_each_turn(operate)),
     )
 
 
@@ -74,9 +78,17 @@
 
 
 def _make_listener(
-    shared: SharedState, endpoint: Endpoint, handle_request: RequestHandler
+    endpoint: Endpoint, answer: http_server.RequestHandler
 ) -> AuxiliaryListener:
-    async def answerer(request: HttpRequest) -> HttpReply:
+    return AuxiliaryListener(
+        endpoint, http_server.HttpServer(answer, refusal_reply)
+    )
+
+
+def _make_answerer(
+    shared: SharedState, handle_request: RequestHandler
+) -> http_server.RequestHandler:
+    async def answer(request: HttpRequest) -> HttpReply:
         return handle_request(shared, request)
 
-    return AuxiliaryListener(endpoint, HttpServer(answerer, refusal_reply))
+    return answer
--- a/tests/http/crowds.feature
+++ b/tests/http/crowds.feature
@@ -24,6 +24,7 @@
       | directory | large bodies in pieces, short of their end | 1300  | 100    | 0     |
       | directory | heads, short of their end                  | 1200  | 64     | 0     |
       | metrics   | large chunks, short of their end           | 1300  | 100    | 0     |
+      | metrics   | requests ahead, and read no answer         | 400   | 100    | 0     |
       | control   | handshakes, short of their end             | 250   | 100    | 0     |
       | control   | peer messages, short of their end          | 120   | 100    | 0     |
 
