Charge the copies of a body that are written to the services of a request

What callers saw: 40 clients with bodies of 256 KB on a route over 120 shards whose targets read nothing brought a process to 160 MB, where 100 are allowed.

Cause: the body is charged once, when it arrives, and then written to every service, where each connection keeps a copy until its target has read it.

Change: a request reserves a copy of its body and what an attempt takes for each of its services before it is forwarded, and is refused at once, not run, if there is no room.

--- a/celeryturn/forwarding/request/runner.py
+++ b/celeryturn/forwarding/request/runner.py
@@ -18,6 +18,11 @@
     RequestContext,
 )
 from celeryturn.forwarding.request.outcomes import read_outcome
+from celeryturn.forwarding.request.request_memory import (
+    hold_reply,
+    release_request,
+    reserve_copies,
+)
 from celeryturn.forwarding.request.suspect_requests import observe_survival
 from celeryturn.forwarding.request.view import make_view
 from celeryturn.forwarding.targets.ends import examine
@@ -38,7 +43,6 @@
     start,
 )
 from celeryturn.http.messages import HttpReply, HttpRequest
-from celeryturn.http.reply_memory import REPLY_MEMORY, hold, release
 from celeryturn.platform import wire
 from celeryturn.timer import Timer
 
@@ -58,7 +62,8 @@
         the attempt.
     :param history: Records of all attempts by number.
     :param is_withdrawn: Whether it was ended so that a peer serves it.
-    :param held_bytes: Size of the replies that are kept until the end.
+    :param held_bytes: Size of what is kept until the end: what is written to
+        the services, and the replies.
     :param has_cancelled: Whether an attempt was cancelled after it had been
         written to a connection.
     """
@@ -105,7 +110,9 @@
         If this is cancelled, all attempts in flight are cancelled.
 
         :returns: Final state of the request.
+        :raises CeleryturnError: ``overloaded`` if there is no memory for it.
         """
+        self.held_bytes = reserve_copies(self.shared, self.context)
         for service in self.context.plan.services:
             extra_load_access.earn_extra_load(self.shared, service)
         try:
@@ -139,7 +146,7 @@
     def _close(self) -> None:
         self._timer.disarm()
         self._apply(sharded.abandon(self.state))
-        release(REPLY_MEMORY, self.held_bytes)
+        release_request(self.held_bytes)
 
     def _finish(self) -> None:
         self._timer.disarm()
@@ -246,8 +253,7 @@
     ) -> TargetReply:
         target = attempt.replica.entry.target
         reply = read_outcome(self.shared, target, outcome)
-        self.held_bytes += len(reply.body)
-        hold(REPLY_MEMORY, len(reply.body))
+        self.held_bytes += hold_reply(reply)
         if isinstance(outcome, HttpReply) and self.is_single:
             self.replies[reply.signature] = outcome
         return reply
--- a/tests/http/crowds.feature
+++ b/tests/http/crowds.feature
@@ -74,3 +74,10 @@
       | what                               | count |
       | requests ahead, and read no answer | 40    |
       | large bodies, short of their end   | 400   |
+
+  # A body was written to each of the services of a request.
+  Scenario: Bodies for many services stay within the memory
+    Given a node with 100 MB and 2000 descriptors, and 120 shards that read nothing
+    When 40 clients send whole large bodies to its shards
+    Then an ordinary request is answered
+    And the process has stayed within its memory
