Do not pass on a status that promises not to have run for a booking that may have

What callers saw: a booking that its target had run was answered 503, with the target's stamp. That status promises callers that the request has not run, so that they book once more.

Cause: where no attempt succeeded and one may have run, the last failure reply of the target was passed on unchanged. Only a reply with X-Not-Executed, or with the status 421, states that the target did not run the request; a target that fails may say 503 of a request that it has begun.

Change: for requests that are not idempotent, a reply with such a status (408, 429, 503) is answered 502 without the stamp, as a lost reply is. Other failures are passed on as before, and so are all failures of idempotent requests.

--- a/celeryturn/forwarding/request/failures.py
+++ b/celeryturn/forwarding/request/failures.py
@@ -37,7 +37,10 @@
         )
     reply = state.legs[0].reply
     if reply is not None:
-        return wire.caller_reply(runner.replies[reply.signature])
+        failure = wire.caller_reply(runner.replies[reply.signature])
+        # To callers, some statuses mean that they may send the request again.
+        if state.plan.is_idempotent or not wire.promises_not_run(failure):
+            return failure
     return CeleryturnError(
         Kind.REPLY_LOST,
         'no usable reply from a target; the request may have run',
--- a/tests/http/statuses.feature
+++ b/tests/http/statuses.feature
@@ -1,4 +1,4 @@
-Feature: Replies with a status that HTTP does not allow
+Feature: Replies with a status that must not be passed on
 
   # A target in trouble sent a reply with the status 000, or 999, and the caller
   # got it as an answer.
@@ -50,3 +50,24 @@
       | 099    |
       | 600    |
       | 999    |
+
+  # A booking that its target had run was answered 503, so that its caller booked
+  # once more.
+  Scenario Outline: A status that promises not to have run is not passed on for a booking that may have run
+    Given a plain route to 1 targets
+    And a target of the at-most-once route "/raw/" that replies with the status "<status>"
+    When a caller books at "/raw/x"
+    Then the answer has the status 502
+    And the answer has no stamp of a target
+
+    Examples:
+      | status |
+      | 408    |
+      | 429    |
+      | 503    |
+
+  Scenario: Another failure of a target is passed on for a booking
+    Given a plain route to 1 targets
+    And a target of the at-most-once route "/raw/" that replies with the status "500"
+    When a caller books at "/raw/x"
+    Then the answer has the status 500
--- a/tests/steps/statuses.py
+++ b/tests/steps/statuses.py
@@ -55,6 +55,18 @@
     context.servers.append(run(context, adding))
 
 
+@given(
+    'a target of the at-most-once route "{prefix}" that replies with the status'
+    ' "{status}"'
+)
+def add_unsafe_target(context: Context, prefix: str, status: str) -> None:
+    """List a target and publish its route for requests that run once."""
+    adding = add_raw_target(
+        get_world(context), prefix, _encode(status), Kind='unsafe'
+    )
+    context.servers.append(run(context, adding))
+
+
 @given('the targets of {count:d} shards reply with the status "{status}"')
 def replace_shards(context: Context, count: int, status: str) -> None:
     """List raw targets in the place of those of some shards."""
--- a/tests/support/raw_target.py
+++ b/tests/support/raw_target.py
@@ -1,7 +1,7 @@
 """A target that replies with given bytes."""
 
 import asyncio
-from typing import Final
+from typing import Any, Final
 
 from celeryturn.decisions.targets.directory import serving_replicas
 from tests.support.routed import (
@@ -58,19 +58,20 @@
 
 
 async def add_raw_target(
-    world: RoutedWorld, prefix: str, reply: bytes
+    world: RoutedWorld, prefix: str, reply: bytes, **fields: Any
 ) -> RawTarget:
     """List a target that replies with given bytes, and publish its route.
 
     :param world: The scenario, with a plain route and one instance.
     :param prefix: Prefix of the route to the target.
     :param reply: Its reply to each request.
+    :param fields: Further fields of the route.
     :returns: The target.
     """
     target = RawTarget(reply)
     world.list_port(RAW_SERVICE, RAW_SERVICE, await target.start())
     version = world.config['Version'] + 1
-    route = plain_route(RAW_SERVICE, prefix)
+    route = plain_route(RAW_SERVICE, prefix, **fields)
     world.publish(version, plain_route(SERVICE), route)
     shared = world.applications[0].shared
     await world.wait_for(
