Wait at a planned shutdown until callers have read their answers

What callers saw: after a SIGTERM, an answer that a caller on a slow line was reading ended in the middle, 3.4 s after the signal, though 6 s were left to the process.

Cause: the shutdown waits for requests in flight. One whose answer is written is none any more, but what its caller has not read waits in the memory of the process and is lost with it.

Change: both daemons wait for unread answers as they do for requests in flight, until the same point of the grace period.

Evidence: two scenarios of tests/http/crowds.feature.

--- a/celeryturn/app.py
+++ b/celeryturn/app.py
@@ -132,12 +132,19 @@
         log(STOPPED, instance=self.instance.settings.instance)
 
     async def _wait_until_idle(self, timeout_seconds: float) -> None:
+        until_seconds = self.instance.clock() + timeout_seconds
         running = {
             *self.server.running_tasks(),
             *self.instance.running.background_tasks,
         }
         if running and timeout_seconds > 0:
             await asyncio.wait(running, timeout=timeout_seconds)
+        # The process ends with what callers have not read yet.
+        while (
+            self.server.has_unread_answers()
+            and self.instance.clock() < until_seconds
+        ):
+            await asyncio.sleep(READY_CHECK_SECONDS)
 
     def _prune_links(self, adopted: PublishedDocument) -> None:
         document = adopted.document
--- a/celeryturn/forwarding/app.py
+++ b/celeryturn/forwarding/app.py
@@ -176,9 +176,14 @@
         log(STOPPED, instance=self.shared.settings.instance.instance)
 
     async def _wait_until_idle(self, until_seconds: float) -> None:
-        while self.shared.in_flight and shared_state.now() < until_seconds:
+        while self._is_busy() and shared_state.now() < until_seconds:
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
+    def _is_busy(self) -> bool:
+        # The process ends with what callers have not read yet.
+        has_unread = self.caller_server.has_unread_answers()
+        return bool(self.shared.in_flight) or has_unread
+
     def _apply_limits(self, table: RouteTable) -> None:
         limits = self.caller_server.limits
         limits.head_bytes = table.limits.head_bytes
--- a/celeryturn/http/counted_writes.py
+++ b/celeryturn/http/counted_writes.py
@@ -16,6 +16,11 @@
         self._unsent = unsent
         self._is_unread = False
 
+    @property
+    def is_unread(self) -> bool:
+        """Whether the other side has not taken all that was written."""
+        return self._is_unread
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         if isinstance(transport, asyncio.Transport):
--- a/celeryturn/http/server.py
+++ b/celeryturn/http/server.py
@@ -138,6 +138,10 @@
         """Return the tasks that handle requests at present."""
         return {busy.task for busy in self.connections if busy.task is not None}
 
+    def has_unread_answers(self) -> bool:
+        """Return whether any caller has not read all of its answer."""
+        return any(connection.is_unread for connection in self.connections)
+
     async def close_idle(self) -> None:
         """Accept no new connections and close idle ones after a short delay."""
         self.is_closing = True
--- a/tests/http/crowds.feature
+++ b/tests/http/crowds.feature
@@ -81,3 +81,16 @@
     When 40 clients send whole large bodies to its shards
     Then an ordinary request is answered
     And the process has stayed within its memory
+
+  # The process ended about 3 s after the signal and cut the answer.
+  Scenario: A shutdown waits for a caller that reads slowly but steadily
+    Given a node with 100 MB and 2000 descriptors, whose targets take 0 ms
+    When it gets SIGTERM while a caller reads an answer bit by bit
+    Then that caller gets its whole answer
+    And the process ends by itself
+
+  Scenario: A shutdown of the project's own interface waits for such a caller too
+    Given a celeryturnd with 100 MB and 2000 descriptors
+    When it gets SIGTERM while a caller reads an answer bit by bit
+    Then that caller gets its whole answer
+    And the process ends by itself
--- a/tests/steps/crowds.py
+++ b/tests/steps/crowds.py
@@ -1,6 +1,8 @@
 """Steps on crowds of clients that do not behave, at separate processes."""
 
 import asyncio
+import re
+import signal
 import socket
 import tempfile
 from collections.abc import Callable, Coroutine, Iterator
@@ -19,7 +21,13 @@
 from celeryturn.schema import encode
 from examples.fleet import find_free_ports
 from tests.steps.node import SETTINGS
-from tests.support.crowds import Crowd, Place, Ports, SlowReader
+from tests.support.crowds import (
+    READ_BYTES,
+    Crowd,
+    Place,
+    Ports,
+    SlowReader,
+)
 from tests.support.limited_process import (
     MEGABYTE,
     LimitedProcess,
@@ -45,6 +53,7 @@
 FRONT_BODY_BYTES: Final = 262_144
 # Longer than a scenario takes, so that no timeout ends what a crowd holds.
 CLIENT_TIMEOUT_MS: Final = 120_000
+GRACE_SECONDS: Final = 7
 START_SECONDS: Final = 15.0
 ANSWER_SECONDS: Final = 30.0
 TRY_SECONDS: Final = 5.0
@@ -85,8 +94,9 @@
         address=ADDRESS, store=world.store.server.port, **context.ports
     )
     limits = f'Limits.MemoryMb={memory_mb}\nLimits.MaxFds={descriptor_count}\n'
+    grace = f'Bounds.GraceS={GRACE_SECONDS}\n'
     path = _make_folder(context) / 'node.conf'
-    path.write_text(settings + limits)
+    path.write_text(settings + limits + grace)
     _start(
         context,
         ('celeryturn.node',),
@@ -103,8 +113,9 @@
     world = context.world
     run(context, world.start_platform())
     run(context, world.start_service(OWN_SERVICE, 2, 1))
-    for shard_records in world.datasets[OWN_SERVICE].records[1].values():
-        shard_records.extend(_make_records())
+    shards = world.datasets[OWN_SERVICE].records[1]
+    for shard, shard_records in shards.items():
+        shard_records.extend(_make_records(shard))
     context.ports = _name_ports(OWN_PORTS)
     settings = world.settings('entry-0', *context.ports.values(), {})
     path = _make_folder(context) / 'settings.yaml'
@@ -148,13 +159,17 @@
     context: Context, count: int, behaviour: str, listener: str
 ) -> None:
     """Let a crowd send, and keep its connections open."""
-    place = Place(
+    place = _make_place(context, listener)
+    run(context, _watched(context, context.crowd.send(place, behaviour, count)))
+
+
+def _make_place(context: Context, listener: str) -> Place:
+    return Place(
         context.ports[listener],
         _PATHS[listener],
         FRONT_BODY_BYTES if listener == 'front' else DEFAULT_BODY_BYTES,
         SEARCH_BODY if listener == 'callers' else b'',
     )
-    run(context, _watched(context, context.crowd.send(place, behaviour, count)))
 
 
 @when('{count:d} clients connect to each of its ports and send nothing')
@@ -167,13 +182,31 @@
 @when('a caller begins to read an answer bit by bit')
 def begin_to_read(context: Context) -> None:
     """Let a caller read slowly, but all the time."""
-    place = Place(context.ports['front'], _PATHS['front'], FRONT_BODY_BYTES)
-    context.reader = SlowReader(place)
+    _begin_to_read(context, BEGUN_BYTES)
+
+
+@when('it gets SIGTERM while a caller reads an answer bit by bit')
+def end_while_reading(context: Context) -> None:
+    """Send SIGTERM when a small part of the answer is read."""
+    _begin_to_read(context, READ_BYTES)
+    context.limited.process.send_signal(signal.SIGTERM)
+
+
+@then('the process ends by itself')
+def expect_end(context: Context) -> None:
+    """Wait until the process has ended without a fault."""
+    process = context.limited.process
+    assert process.wait(ANSWER_SECONDS) == 0, context.limited.log.read_text()
+
+
+def _begin_to_read(context: Context, least_bytes: int) -> None:
+    listener = 'front' if 'front' in context.ports else 'callers'
+    context.reader = SlowReader(_make_place(context, listener))
     context.add_cleanup(context.reader.close)
     context.reading = context.loop.create_task(context.reader.read())
 
     async def begin() -> None:
-        while len(context.reader.received) < BEGUN_BYTES:
+        while len(context.reader.received) < least_bytes:
             await asyncio.sleep(RETRY_SECONDS)
 
     run(context, asyncio.wait_for(begin(), START_SECONDS))
@@ -184,8 +217,12 @@
     """Check that nothing is missing at the end."""
     waiting = asyncio.wait_for(context.reading, ANSWER_SECONDS)
     run(context, _watched(context, waiting))
-    _, _, body = context.reader.received.partition(b'\r\n\r\n')
-    assert len(body) == ANSWER_BYTES, len(body)
+    head, _, body = context.reader.received.partition(b'\r\n\r\n')
+    stated = re.search(rb'content-length: (\d+)', head.lower())
+    assert stated is not None, head
+    stated_bytes = int(stated.group(1))
+    assert stated_bytes >= ANSWER_BYTES, head
+    assert len(body) == stated_bytes, context.limited.log.read_text()[-3000:]
 
 
 @then('an ordinary request is answered')
@@ -211,10 +248,10 @@
     assert most <= limited.limits.descriptor_count, most
 
 
-def _make_records() -> Iterator[Record]:
+def _make_records(shard: str) -> Iterator[Record]:
     for number in range(RECORD_COUNT):
         yield Record(
-            key=f'many-{number}/0',
+            key=f'{shard}-{number}/0',
             schema_version=1,
             starts_at_seconds=0,
             free_count=1,
--- a/tests/support/crowds.py
+++ b/tests/support/crowds.py
@@ -16,8 +16,9 @@
 CONNECT_SECONDS: Final = 2.0
 # An answer of 1 MB is read in 5 s.
 READ_BUFFER_BYTES: Final = 16_384
-READ_BYTES: Final = 10_000
+READ_BYTES: Final = 5000
 READ_SECONDS: Final = 0.05
+READ_BYTES_PER_SECOND: Final = 200_000
 PIECE_BYTES: Final = 16_384
 ANY_MASK: Final = bytes(4)
 WEBSOCKET_MESSAGE_BYTES: Final = 1_900_000
@@ -66,13 +67,16 @@
         """Send a request and read until the connection is closed."""
         loop = asyncio.get_running_loop()
         await loop.sock_connect(self._client, (ADDRESS, self._place.port))
-        head = _head(self._place, 'connection: close', method='GET')
-        await loop.sock_sendall(self._client, head)
+        request = _read_request(self._place, 'connection: close')
+        await loop.sock_sendall(self._client, request)
+        began_seconds = loop.time()
         chunk = await loop.sock_recv(self._client, READ_BYTES)
         while chunk:
             self.received += chunk
             await asyncio.sleep(READ_SECONDS)
-            chunk = await loop.sock_recv(self._client, READ_BYTES)
+            due = READ_BYTES_PER_SECOND * (loop.time() - began_seconds)
+            size = max(READ_BYTES, int(due) - len(self.received))
+            chunk = await loop.sock_recv(self._client, size)
 
     def close(self) -> None:
         """Close the connection."""
@@ -136,11 +140,11 @@
     return '\r\n'.join((*first, *lines, '', '')).encode()
 
 
-def _read_request(place: Place) -> bytes:
+def _read_request(place: Place, *lines: str) -> bytes:
     if not place.read_body:
-        return _head(place, method='GET')
+        return _head(place, *lines, method='GET')
     length = f'content-length: {len(place.read_body)}'
-    return _head(place, length) + place.read_body
+    return _head(place, length, *lines) + place.read_body
 
 
 def _pieces(body: bytes, piece_bytes: int) -> Iterator[bytes]:
