Force the positions at which the scenario on cut replies cuts

The scenario failed in some runs because replies had been cut at fewer than 8 positions, not because a caller got a wrong answer.

Cause: 12 targets of one service cut at a position each, and the instance chose among them. It avoids targets that fail, so that which of them got a request depended on chance.

Change: each target has a service and a route of its own, and the 400 bookings go to the routes in turn. Every position that is within the reply, 12 or 10, is cut in every run, where 8 were asked for. What is checked of the answers is the same.

--- a/tests/http/cut_replies.feature
+++ b/tests/http/cut_replies.feature
@@ -19,18 +19,18 @@
       | until the end | a reset   | 0     | body |
 
   Scenario Outline: Callers of published routes get no success from replies that are cut
-    Given a plain route to 12 targets for at-most-once requests
+    Given 12 routes for at-most-once requests, each to one target
     And the replies of its targets are cut at positions from 0 to <most>, with <ending>, after <count> whole replies
-    When callers send 400 bookings to "/one/x", one after the other
-    Then replies were cut at 8 positions or more
+    When callers send 400 bookings to these routes in turn
+    Then replies were cut at <positions> positions or more
     And each answer is whole or has no success
 
     Examples:
-      | most | ending  | count |
-      | 60   | a close | 0     |
-      | 160  | a close | 0     |
-      | 160  | a reset | 0     |
-      | 160  | a close | 2     |
+      | most | ending  | count | positions |
+      | 60   | a close | 0     | 12        |
+      | 160  | a close | 0     | 10        |
+      | 160  | a reset | 0     | 10        |
+      | 160  | a close | 2     | 10        |
 
   Scenario Outline: Callers of searches over shards get no part from replies that are cut
     Given a gather route over 4 shards of 1 targets
--- a/tests/steps/cut_replies.py
+++ b/tests/steps/cut_replies.py
@@ -1,6 +1,7 @@
 """Steps on replies that end too early."""
 
 import asyncio
+import itertools
 from types import MappingProxyType
 from typing import Final, NamedTuple
 
@@ -14,8 +15,10 @@
 from tests.support.resets import end_connection
 from tests.support.routed import (
     ADDRESS,
+    RoutedWorld,
     caller_request,
     get_world,
+    plain_route,
     run,
 )
 
@@ -180,10 +183,27 @@
     world.publish({**document, 'version': document['version'] + 1})
 
 
-@when('callers send {count:d} bookings to "{path}", one after the other')
-def send_bookings(context: Context, count: int, path: str) -> None:
-    """Send requests that run at most once."""
+@given('{count:d} routes for at-most-once requests, each to one target')
+def start_routes(context: Context, count: int) -> None:
+    """Start targets that cannot take requests from each other."""
+    world = RoutedWorld()
+    context.routed = world
+    context.prefixes = [f'/cut-{number}/' for number in range(count)]
+    services = [prefix.strip('/') for prefix in context.prefixes]
+    run(context, world.start_store())
+    for service in services:
+        run(context, world.start_targets(service, 1))
+    routes = map(plain_route, services, context.prefixes)
+    world.publish(1, *({**route, 'Kind': 'unsafe'} for route in routes))
+    run(context, world.start_instance())
+    run(context, world.wait_ready())
+
+
+@when('callers send {count:d} bookings to these routes in turn')
+def send_bookings(context: Context, count: int) -> None:
+    """Send requests that run at most once, one after the other."""
     world = get_world(context)
+    paths = itertools.cycle(f'{prefix}x' for prefix in context.prefixes)
     context.replies = [
         run(
             context,
@@ -193,7 +213,7 @@
                 )
             ),
         )
-        for number in range(count)
+        for number, path in zip(range(count), paths, strict=False)
     ]
 
 
