Close no connection that holds less than before, and bound small descriptor limits

Read again: a connection whose answer was just taken whole, or in part by a slow caller, could give way to itself, since it was charged like one that grows. It is only recorded now, and only what grows has to find room. A client that sends ahead does not begin its wait anew with each piece. A process with fewer than 200 descriptors, or with no limit on them, derives its connections from half of them, or from a large number. celeryturnd states the metrics of the account too.

--- a/celeryturn/clients/process_limits.py
+++ b/celeryturn/clients/process_limits.py
@@ -16,15 +16,15 @@
 RECEIVE_SHARE: Final = 0.25
 MIN_RECEIVE_BUFFER_BYTES: Final = 4096
 MAX_RECEIVE_BUFFER_BYTES: Final = 65_536
-# Descriptors reserved for files.  Clients get a fraction of the others, so that
-# some are left for connections to targets.
+# Descriptors reserved for files, at most half of all.  Clients get a fraction
+# of the others, so that some are left for connections to targets.
 FILE_DESCRIPTOR_COUNT: Final = 200
 CLIENT_DESCRIPTOR_SHARE: Final = 0.7
-_GROUP_LIMIT: Final = Path('/sys/fs/cgroup/memory.max')
-
-
+# Stands for no limit.
+MAX_DESCRIPTOR_COUNT: Final = 1_048_576
 DEFAULT_MEMORY_BYTES: Final = 300_000_000
 DEFAULT_DESCRIPTOR_COUNT: Final = 4096
+_GROUP_LIMIT: Final = Path('/sys/fs/cgroup/memory.max')
 
 
 class ProcessLimits(NamedTuple):
@@ -58,9 +58,10 @@
         _soft_limit(resource.RLIMIT_DATA),
         _group_limit(),
     )
-    return ProcessLimits(
-        int(min(memory_limits)), int(_soft_limit(resource.RLIMIT_NOFILE))
+    descriptor_count = min(
+        MAX_DESCRIPTOR_COUNT, _soft_limit(resource.RLIMIT_NOFILE)
     )
+    return ProcessLimits(int(min(memory_limits)), int(descriptor_count))
 
 
 def account_bytes(limits: ProcessLimits) -> int:
@@ -84,7 +85,8 @@
     :param limits: Limits of the process.
     :returns: The number.
     """
-    usable_count = limits.descriptor_count - FILE_DESCRIPTOR_COUNT
+    file_count = min(FILE_DESCRIPTOR_COUNT, limits.descriptor_count // 2)
+    usable_count = limits.descriptor_count - file_count
     return max(1, int(CLIENT_DESCRIPTOR_SHARE * usable_count))
 
 
--- a/celeryturn/entry/gauges.py
+++ b/celeryturn/entry/gauges.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 
+from celeryturn.clients.account import CLIENT_ACCOUNT
 from celeryturn.decisions.configuration.service_state import ServiceState
 from celeryturn.decisions.load.limits import waiting_count
 from celeryturn.instance import Instance
@@ -25,6 +26,15 @@
     )
     for status, count in counts.items():
         set_gauge(metrics, 'members', {'status': status}, count)
+    _set_client_gauges(metrics)
+
+
+def _set_client_gauges(metrics: Metrics) -> None:
+    account = CLIENT_ACCOUNT
+    set_gauge(metrics, 'client_bytes', {}, account.used_bytes)
+    set_gauge(metrics, 'client_limit_bytes', {}, account.limit_bytes)
+    set_gauge(metrics, 'client_connections', {}, account.connection_count)
+    set_gauge(metrics, 'clients_closed', {}, account.closed_count)
 
 
 def _set_service_gauges(
--- a/celeryturn/http/charged_connection.py
+++ b/celeryturn/http/charged_connection.py
@@ -78,7 +78,7 @@
         self._unread_timer.disarm()
         self._update_reading()
         wait_for_client(CLIENT_ACCOUNT, self._holding)
-        self._charge()
+        self._resize()
 
     def _may_read(self) -> bool:
         return not self._is_unread and super()._may_read()
@@ -111,17 +111,21 @@
         holding = self._holding
         if not holding.is_open:
             return False
+        self._resize()
+        has_room = make_room(CLIENT_ACCOUNT, holding.size_bytes, kept=holding)
+        if not has_room:
+            self._give_way()
+        return has_room
+
+    def _resize(self) -> None:
+        """Record the size of what the connection holds."""
         size_bytes = (
             CONNECTION_BYTES
             + self._held_bytes()
             + UNREAD_ANSWERS.held.get(id(self), 0)
             + self._system_bytes()
         )
-        resize(CLIENT_ACCOUNT, holding, size_bytes)
-        has_room = make_room(CLIENT_ACCOUNT, holding.size_bytes, kept=holding)
-        if not has_room:
-            self._give_way()
-        return has_room
+        resize(CLIENT_ACCOUNT, self._holding, size_bytes)
 
     def _system_bytes(self) -> int:
         # What arrives is read at once, unless reading is paused.
@@ -154,7 +158,7 @@
             self._stalled_check_count = 0
             record_unsent(UNREAD_ANSWERS, id(self), size_bytes)
             record_slow_read(CLIENT_ACCOUNT, self._holding)
-            self._charge()
+            self._resize()
         elif self._stalled_check_count == BEGIN_CHECK_COUNT:
             wait_for_client(CLIENT_ACCOUNT, self._holding)
         # The first check only sees what the buffers of the system have taken.
--- a/celeryturn/http/server.py
+++ b/celeryturn/http/server.py
@@ -35,8 +35,8 @@
 IDLE_TIMEOUT_SECONDS: Final = 60.0
 LINGER_SECONDS: Final = 0.2
 PARSER_BUFFER_FACTOR: Final = 2
-# Data of later requests that a caller may send before its answer, without
-# giving way to others while it waits for the answer.
+# A caller that sends as much of later requests before its answer gives way to
+# others while it waits for the answer.
 FREE_AHEAD_BYTES: Final = 16_384
 
 
@@ -271,7 +271,7 @@
         is_allowed = self._ahead_bytes <= self._server.limits.body_bytes
         if not is_allowed:
             self.close()
-        elif self._ahead_bytes > FREE_AHEAD_BYTES:
+        elif 0 <= self._ahead_bytes - FREE_AHEAD_BYTES < len(chunk):
             wait_for_client(CLIENT_ACCOUNT, self._holding)
         return is_allowed
 
@@ -336,7 +336,8 @@
         self._ahead_bytes = unparsed_size(self._bytes)
         if self._charge():
             self._is_receiving = False
-            serve_client(CLIENT_ACCOUNT, self._holding)
+            if self._ahead_bytes < FREE_AHEAD_BYTES:
+                serve_client(CLIENT_ACCOUNT, self._holding)
             self.task = asyncio.get_running_loop().create_task(
                 self._handle_request(request)
             )
@@ -350,8 +351,12 @@
         self._request = None
         self._request_bytes = 0
         self._write_reply(reply, is_last=self._server.is_closing)
-        self._charge()
-        self._start_next_cycle()
+        if self._is_unread:
+            self._charge()
+        else:
+            self._resize()
+        if self._holding.is_open:
+            self._start_next_cycle()
 
     def _start_next_cycle(self) -> None:
         machine = self._bytes.machine
--- a/celeryturn/metrics.py
+++ b/celeryturn/metrics.py
@@ -77,6 +77,10 @@
     ('target_waiting', 'Sub-requests that wait for a target'),
     ('target_limit', 'Adaptive concurrency limit of a target'),
     ('members', 'Instances by status'),
+    ('client_bytes', 'Bytes held for clients and targets'),
+    ('client_limit_bytes', 'Bytes that may be held for them'),
+    ('client_connections', 'Open connections of clients, at all ports'),
+    ('clients_closed', 'Connections closed since others needed the room'),
 )
 
 
