Charge all that the parser holds of a request

What callers saw: 1,200 clients that stopped in the extension of a chunk size, or in the trailers of a chunked body, brought a process to 83 to 85 MB, where 64 are allowed.

Cause: after its head, a request was charged for its body and for what the parser had not been given. The parser keeps up to 32 KB of a line or of trailers that are not complete.

Change: what the parser holds is charged at any point of a request, read from the parser in place of being counted beside it. The count for heads is gone.

Evidence: two new rows of tests/http/crowds.feature.

--- a/celeryturn/http/incoming_bytes.py
+++ b/celeryturn/http/incoming_bytes.py
@@ -22,13 +22,10 @@
     :param is_end_received: Whether the end of the data follows them.
     :param head_line_count: Lines of the current head that the parser has been
         given, without those of the last piece.
-    :param head_bytes: Bytes that the parser has been given before the end of
-        the current head.
     """
 
     __slots__ = (
         '_make_machine',
-        'head_bytes',
         'head_line_count',
         'is_end_received',
         'machine',
@@ -41,7 +38,6 @@
         self.received = b''
         self.is_end_received = False
         self.head_line_count = 0
-        self.head_bytes = 0
 
     def restart(self) -> None:
         """Parse what follows the last message with a new parser."""
@@ -52,9 +48,9 @@
 
 
 def unparsed_size(incoming: IncomingBytes) -> int:
-    """Return the size of what follows the current message.
+    """Return the size of what is not parsed yet.
 
-    :param incoming: The received bytes.
+    :param incoming: The received bytes, also those that the parser has.
     :returns: Size in bytes.
     """
     trailing_bytes, _ = incoming.machine.trailing_data
@@ -74,7 +70,6 @@
         event = incoming.machine.next_event()
     if isinstance(event, HEADS):
         incoming.head_line_count = 0
-        incoming.head_bytes = 0
     return event
 
 
@@ -96,7 +91,6 @@
     incoming.received = incoming.received[size_bytes:]
     if is_before_head:
         _count_head_lines(incoming, piece)
-        incoming.head_bytes += len(piece)
     incoming.machine.receive_data(piece)
 
 
--- a/celeryturn/http/server.py
+++ b/celeryturn/http/server.py
@@ -241,13 +241,8 @@
             self.close()
 
     def _held_bytes(self) -> int:
-        received_bytes = len(self._bytes.received)
-        return (
-            self._bytes.head_bytes
-            + self._request_bytes
-            + len(self._body)
-            + max(received_bytes, self._ahead_bytes)
-        )
+        unparsed_bytes = unparsed_size(self._bytes)
+        return unparsed_bytes + self._request_bytes + len(self._body)
 
     def _refuse(self) -> None:
         # A request that is not complete has not run, and its caller is told.
@@ -370,10 +365,6 @@
             self._timer.arm(self._server.limits.idle_seconds, self.close)
             wait_for_client(CLIENT_ACCOUNT, self._holding)
             if self._ahead_bytes:
-                # The parser has the rest.
-                self._bytes.head_bytes = self._ahead_bytes - len(
-                    self._bytes.received
-                )
                 self._ahead_bytes = 0
                 self._begin_receiving()
             self._parse()
--- a/tests/http/crowds.feature
+++ b/tests/http/crowds.feature
@@ -19,6 +19,8 @@
       | front     | requests ahead, and read no answer         | 40    | 100    | 0     |
       | front     | bodies ahead of their turn                 | 400   | 100    | 500   |
       | front     | heads, short of their end                  | 1200  | 64     | 0     |
+      | front     | chunk sizes, short of their end            | 1200  | 64     | 0     |
+      | front     | trailers, short of their end               | 1200  | 64     | 0     |
       | ready     | large bodies, short of their end           | 1300  | 100    | 0     |
       | ready     | chunks of one byte, short of their end     | 1300  | 100    | 0     |
       | directory | large bodies in pieces, short of their end | 1300  | 100    | 0     |
--- a/tests/support/crowds.py
+++ b/tests/support/crowds.py
@@ -197,6 +197,18 @@
     return (_head(place, method='GET'), *_pieces(head + bytes(size), size))
 
 
+def _send_chunk_size(place: Place) -> Iterable[bytes]:
+    # A chunk may have extensions after its size.
+    head = _head(place, 'transfer-encoding: chunked')
+    return (b'%b1\r\nx\r\n1;x=%b' % (head, b'y' * HEAD_BYTES),)
+
+
+def _send_trailers(place: Place) -> Iterable[bytes]:
+    head = _head(place, 'transfer-encoding: chunked')
+    line = _line(HEAD_BYTES // HEAD_LINES)
+    return (b'%b1\r\nx\r\n0\r\n%b' % (head, HEAD_LINES * line),)
+
+
 def _send_head(place: Place) -> Iterable[bytes]:
     line = _line(HEAD_BYTES // HEAD_LINES)
     head = _head(place, method='GET').removesuffix(b'\r\n')
@@ -238,6 +250,8 @@
         'requests ahead, and read no answer': _send_ahead,
         'bodies ahead of their turn': _send_bodies_ahead,
         'heads, short of their end': _send_head,
+        'chunk sizes, short of their end': _send_chunk_size,
+        'trailers, short of their end': _send_trailers,
         'nothing': _send_nothing,
         'handshakes, short of their end': _send_handshake_lines,
         'peer messages, short of their end': _send_websocket_message,
