--- a/tests/steps/cut_replies.py
+++ b/tests/steps/cut_replies.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Iterable
 from types import MappingProxyType
 from typing import Final, NamedTuple
 
@@ -199,11 +200,21 @@
     run(context, world.wait_ready())
 
 
+@when('callers send {count:d} bookings to "{path}", one after the other')
+def send_bookings(context: Context, count: int, path: str) -> None:
+    """Send requests that run at most once."""
+    _send_bookings(context, itertools.repeat(path, count))
+
+
 @when('callers send {count:d} bookings to these routes in turn')
-def send_bookings(context: Context, count: int) -> None:
+def send_bookings_in_turn(context: Context, count: int) -> None:
     """Send requests that run at most once, one after the other."""
-    world = get_world(context)
     paths = itertools.cycle(f'{prefix}x' for prefix in context.prefixes)
+    _send_bookings(context, itertools.islice(paths, count))
+
+
+def _send_bookings(context: Context, paths: Iterable[str]) -> None:
+    world = get_world(context)
     context.replies = [
         run(
             context,
@@ -213,7 +224,7 @@
                 )
             ),
         )
-        for number, path in zip(range(count), paths, strict=False)
+        for number, path in enumerate(paths)
     ]
 
 
