Charge what is sent ahead once for each read

What a client sends while its request is handled was charged twice in a row: by the slice that parses what was received, which runs for it too, and again after it. The second is gone. A count that no step of the crowds read is gone as well.

--- a/celeryturn/http/server.py
+++ b/celeryturn/http/server.py
@@ -212,10 +212,8 @@
         """Feed the parser and enforce the request timeout."""
         if self.task is None:
             self._begin_receiving()
+        if self.task is None or self._accept_ahead(chunk):
             self._receive(chunk)
-        elif self._accept_ahead(chunk):
-            self._receive(chunk)
-            self._charge()
 
     def resume_writing(self) -> None:
         """Go on with the next request, because the answer was read."""
--- a/tests/support/crowds.py
+++ b/tests/support/crowds.py
@@ -87,12 +87,10 @@
     """Clients of one process.
 
     :param clients: Their sockets.
-    :param sent_bytes: What they have sent together.
     """
 
     def __init__(self) -> None:
         self.clients: list[socket.socket] = []
-        self.sent_bytes = 0
 
     async def send(self, place: Place, behaviour: str, count: int) -> None:
         """Let clients connect and send what they can.
@@ -126,7 +124,6 @@
                 await loop.sock_connect(client, (ADDRESS, place.port))
             for piece in send(place):
                 await loop.sock_sendall(client, piece)
-                self.sent_bytes += len(piece)
                 await asyncio.sleep(0)
 
 
