Take no size from connections that are being opened

The scenarios on the memory of a process add what the system holds for its connections. In one run, a process with 100 MB seemed to have 2.7 GB.

Cause: while a connection is being opened, the table of the system states sizes for it that are not valid yet. A trace of the table for 20 s, while six threads opened connections, had one such line: in the state SYN_SENT, with 470B8F56 bytes written. A connection in that state holds nothing.

Change: such connections are passed over. All others are counted as before, and the bounds are the same. What the system held at most is recorded beside the sum.

--- a/tests/support/crowds.py
+++ b/tests/support/crowds.py
@@ -20,6 +20,9 @@
 READ_SECONDS: Final = 0.05
 READ_BYTES_PER_SECOND: Final = 200_000
 PIECE_BYTES: Final = 16_384
+# A connection in this state holds nothing, and the table states sizes for it
+# that are not valid yet.
+SYN_SENT_STATE: Final = '02'
 ANY_MASK: Final = bytes(4)
 WEBSOCKET_MESSAGE_BYTES: Final = 1_900_000
 HANDSHAKE_LINES: Final = 110
@@ -279,7 +282,8 @@
         for line in table:
             fields = line.split()
             local_port, remote_port = map(_read_port, fields[1:3])
-            if local_port in ports.own or remote_port in ports.targets:
+            is_counted = local_port in ports.own or remote_port in ports.targets
+            if is_counted and fields[3] != SYN_SENT_STATE:
                 written, _, received = fields[4].partition(':')
                 held_bytes += int(written, 16) + int(received, 16)
     return held_bytes
--- a/tests/support/limited_process.py
+++ b/tests/support/limited_process.py
@@ -36,6 +36,7 @@
     :param limits: What it may use.
     :param ports: TCP ports whose connections are counted.
     :param most_bytes: Most memory that was seen.
+    :param most_kernel_bytes: Most that the system held for its connections.
     :param most_descriptors: Most open descriptors that were seen.
     """
 
@@ -52,6 +53,7 @@
         self.limits = limits
         self.ports = ports
         self.most_bytes = 0
+        self.most_kernel_bytes = 0
         self.most_descriptors = 0
         self.log = log
         with log.open('wb') as output:
@@ -82,9 +84,11 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (count, count))
 
     def _sample(self) -> None:
-        own_bytes = self._status_bytes('VmRSS') + kernel_bytes(self.ports)
+        held_bytes = kernel_bytes(self.ports)
+        own_bytes = self._status_bytes('VmRSS') + held_bytes
         peak_bytes = self._status_bytes('VmHWM')
         self.most_bytes = max(self.most_bytes, own_bytes, peak_bytes)
+        self.most_kernel_bytes = max(self.most_kernel_bytes, held_bytes)
         count = descriptor_count(self.process.pid)
         self.most_descriptors = max(self.most_descriptors, count)
 
