Charge all that is held of replies that do not end

What callers saw: targets that send bytes without end, in a head, in a body or after a reply, bring a process above its memory, so that the platform kills it and the requests of all callers end with it.

Cause: a single reply has limits, the sum of what is held for all has none. The receive buffers of connections to targets had no size, so that the system kept megabytes for each. What was received and waited to be parsed, and headers, were charged to nothing. Each reply was guaranteed 64 KB, however many there were.

Change: a reply that is not complete is charged to the account of the process with its body, its headers, what was not parsed, and the buffers of the system while it is not read. These buffers get a size before the connection is opened, which also decides how much the target may send ahead. Replies have half of the account before clients give way to them; then the largest reply gives way, since one without end becomes the largest. 4 KB of each are received in any case.

The step that lowers the memory of replies records it where it is charged now.

--- a/celeryturn/clients/account.py
+++ b/celeryturn/clients/account.py
@@ -15,7 +15,9 @@
     ProcessLimits,
     account_bytes,
     max_client_connections,
+    max_target_connections,
     receive_buffer_bytes,
+    target_receive_buffer_bytes,
 )
 
 # A connection without any request.
@@ -56,7 +58,10 @@
     :param used_bytes: Bytes that are held.
     :param max_connections: Connections that may be open.
     :param connection_count: Connections that are open.
+    :param max_target_connections: Connections to targets that may be open.
     :param receive_buffer_bytes: Size of the receive buffer of a connection.
+    :param target_buffer_bytes: Size of the receive buffer of a connection to a
+        target.
     :param waiting: Connections that wait for their client, the longest first.
     :param answered: Connections whose client may still begin to read its
         answer, the longest first.  They give way after those that wait.
@@ -73,9 +78,11 @@
         'connection_count',
         'limit_bytes',
         'max_connections',
+        'max_target_connections',
         'read_slowly',
         'receive_buffer_bytes',
         'slow_bytes',
+        'target_buffer_bytes',
         'used_bytes',
         'waiting',
     )
@@ -83,7 +90,9 @@
     def __init__(self) -> None:
         self.limit_bytes = account_bytes(DEFAULT_LIMITS)
         self.max_connections = max_client_connections(DEFAULT_LIMITS)
+        self.max_target_connections = max_target_connections(DEFAULT_LIMITS)
         self.receive_buffer_bytes = receive_buffer_bytes(DEFAULT_LIMITS)
+        self.target_buffer_bytes = target_receive_buffer_bytes(DEFAULT_LIMITS)
         self.used_bytes = 0
         self.connection_count = 0
         self.closed_count = 0
@@ -101,7 +110,9 @@
     """
     account.limit_bytes = account_bytes(limits)
     account.max_connections = max_client_connections(limits)
+    account.max_target_connections = max_target_connections(limits)
     account.receive_buffer_bytes = receive_buffer_bytes(limits)
+    account.target_buffer_bytes = target_receive_buffer_bytes(limits)
 
 
 def open_holding(account: ClientAccount, holding: Holding) -> None:
--- a/celeryturn/clients/buffers.py
+++ b/celeryturn/clients/buffers.py
@@ -2,13 +2,16 @@
 
 import socket
 from collections.abc import Iterable
-from typing import Protocol
+from typing import Final, Protocol
 
 from celeryturn.clients.account import (
     CLIENT_ACCOUNT,
     SEND_BUFFER_BYTES,
 )
 
+# The system holds up to twice the size of a buffer.
+SYSTEM_BUFFER_FACTOR: Final = 2
+
 
 class SocketOptions(Protocol):
     """The part of a socket that sets its options."""
@@ -23,17 +26,19 @@
     :param listening: Sockets that listen, or are about to.
     """
     for accepting in listening:
-        limit_send_buffer(accepting)
-        accepting.setsockopt(
-            socket.SOL_SOCKET,
-            socket.SO_RCVBUF,
-            CLIENT_ACCOUNT.receive_buffer_bytes,
-        )
+        _set_buffers(accepting, CLIENT_ACCOUNT.receive_buffer_bytes)
 
 
-def limit_send_buffer(connected: SocketOptions) -> None:
-    """Limit what the system takes before the other side has read it.
+def limit_target_buffers(connecting: SocketOptions) -> None:
+    """Limit the buffers of a connection to a target.
 
-    :param connected: Socket whose limit is set.
+    :param connecting: Socket that is not connected yet, since the size of what
+        the other side may send is agreed on when it is.
     """
-    connected.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+    _set_buffers(connecting, CLIENT_ACCOUNT.target_buffer_bytes)
+
+
+def _set_buffers(changed: SocketOptions, receive_bytes: int) -> None:
+    level = socket.SOL_SOCKET
+    changed.setsockopt(level, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+    changed.setsockopt(level, socket.SO_RCVBUF, receive_bytes)
--- a/celeryturn/clients/process_limits.py
+++ b/celeryturn/clients/process_limits.py
@@ -14,12 +14,15 @@
 MIN_ACCOUNT_SHARE: Final = 0.125
 # The system reserves up to twice the size of a receive buffer.
 RECEIVE_SHARE: Final = 0.25
+TARGET_RECEIVE_SHARE: Final = 0.125
 MIN_RECEIVE_BUFFER_BYTES: Final = 4096
 MAX_RECEIVE_BUFFER_BYTES: Final = 65_536
 # Descriptors reserved for files, at most half of all.  Clients get a fraction
 # of the others, so that some are left for connections to targets.
 FILE_DESCRIPTOR_COUNT: Final = 200
 CLIENT_DESCRIPTOR_SHARE: Final = 0.7
+# The rest is for peers, the store and probes.
+TARGET_DESCRIPTOR_SHARE: Final = 0.25
 # Stands for no limit.
 MAX_DESCRIPTOR_COUNT: Final = 1_048_576
 DEFAULT_MEMORY_BYTES: Final = 300_000_000
@@ -85,9 +88,16 @@
     :param limits: Limits of the process.
     :returns: The number.
     """
-    file_count = min(FILE_DESCRIPTOR_COUNT, limits.descriptor_count // 2)
-    usable_count = limits.descriptor_count - file_count
-    return max(1, int(CLIENT_DESCRIPTOR_SHARE * usable_count))
+    return _connection_count(limits, CLIENT_DESCRIPTOR_SHARE)
+
+
+def max_target_connections(limits: ProcessLimits) -> int:
+    """Return how many connections to targets may be open.
+
+    :param limits: Limits of the process.
+    :returns: The number.
+    """
+    return _connection_count(limits, TARGET_DESCRIPTOR_SHARE)
 
 
 def receive_buffer_bytes(limits: ProcessLimits) -> int:
@@ -97,8 +107,30 @@
     :returns: Size in bytes, so that the buffers of all connections together
         fit into the memory that is not for other purposes.
     """
+    count = max_client_connections(limits)
+    return _buffer_bytes(limits, RECEIVE_SHARE, count)
+
+
+def target_receive_buffer_bytes(limits: ProcessLimits) -> int:
+    """Return the size of the receive buffer of a connection to a target.
+
+    :param limits: Limits of the process.
+    :returns: Size in bytes, so that the buffers of all connections together
+        fit into the memory for them.
+    """
+    count = max_target_connections(limits)
+    return _buffer_bytes(limits, TARGET_RECEIVE_SHARE, count)
+
+
+def _connection_count(limits: ProcessLimits, share: float) -> int:
+    file_count = min(FILE_DESCRIPTOR_COUNT, limits.descriptor_count // 2)
+    usable_count = limits.descriptor_count - file_count
+    return max(1, int(share * usable_count))
+
+
+def _buffer_bytes(limits: ProcessLimits, share: float, count: int) -> int:
     spare_bytes = limits.memory_bytes - PROGRAM_BYTES
-    size_bytes = RECEIVE_SHARE * spare_bytes / max_client_connections(limits)
+    size_bytes = share * spare_bytes / count
     return int(
         min(
             max(size_bytes, MIN_RECEIVE_BUFFER_BYTES),
--- a/celeryturn/entry/gauges.py
+++ b/celeryturn/entry/gauges.py
@@ -5,6 +5,7 @@
 from celeryturn.clients.account import CLIENT_ACCOUNT
 from celeryturn.decisions.configuration.service_state import ServiceState
 from celeryturn.decisions.load.limits import waiting_count
+from celeryturn.http.reply_memory import REPLY_MEMORY
 from celeryturn.instance import Instance
 from celeryturn.metrics import Metrics, set_gauge
 from celeryturn.queries.dump import configuration_age_seconds
@@ -35,6 +36,7 @@
     set_gauge(metrics, 'client_limit_bytes', {}, account.limit_bytes)
     set_gauge(metrics, 'client_connections', {}, account.connection_count)
     set_gauge(metrics, 'clients_closed', {}, account.closed_count)
+    set_gauge(metrics, 'replies_dropped', {}, REPLY_MEMORY.dropped_count)
 
 
 def _set_service_gauges(
--- a/celeryturn/forwarding/operations/gauges.py
+++ b/celeryturn/forwarding/operations/gauges.py
@@ -21,6 +21,7 @@
     count_reported,
     verdict_counts,
 )
+from celeryturn.http.reply_memory import REPLY_MEMORY
 from celeryturn.http.turn_scheduler import TURN_SCHEDULER, waiting_count
 from celeryturn.http.unsent_bytes import UNREAD_ANSWERS, UNREAD_REQUESTS
 from celeryturn.traffic import Traffic
@@ -62,6 +63,7 @@
     ('client_limit_bytes', 'Bytes that may be held for them'),
     ('client_connections', 'Open connections of clients, at all ports'),
     ('clients_closed', 'Connections closed since others needed the room'),
+    ('replies_dropped', 'Replies of targets dropped, since there was no room'),
     ('answers_abandoned', 'Answers abandoned, since callers did not read them'),
     (
         'reads_waiting',
@@ -239,6 +241,7 @@
     gauges['client_limit_bytes'].set({}, CLIENT_ACCOUNT.limit_bytes)
     gauges['client_connections'].set({}, CLIENT_ACCOUNT.connection_count)
     gauges['clients_closed'].set({}, CLIENT_ACCOUNT.closed_count)
+    gauges['replies_dropped'].set({}, REPLY_MEMORY.dropped_count)
 
 
 def _set_unread(gauges: dict[str, Gauge]) -> None:
--- a/celeryturn/forwarding/request/outcomes.py
+++ b/celeryturn/forwarding/request/outcomes.py
@@ -7,7 +7,7 @@
 )
 from celeryturn.forwarding.shared_state import SharedState
 from celeryturn.forwarding.targets.exchanges import NotSentError, Outcome
-from celeryturn.http.client import BrokenOffError
+from celeryturn.http.exchange_errors import BrokenOffError
 from celeryturn.platform import wire
 
 
--- a/celeryturn/forwarding/targets/pools.py
+++ b/celeryturn/forwarding/targets/pools.py
@@ -18,7 +18,8 @@
     Outcome,
     WithdrawnError,
 )
-from celeryturn.http.client import Connection, ExchangeError, connect
+from celeryturn.http.client import Connection, connect
+from celeryturn.http.exchange_errors import ExchangeError
 
 # Opens a connection to an address and port, within a number of seconds.
 Connector: TypeAlias = Callable[[str, int, float], Awaitable[Connection]]
--- a/celeryturn/http/charged_connection.py
+++ b/celeryturn/http/charged_connection.py
@@ -19,6 +19,7 @@
     resize,
     wait_for_client,
 )
+from celeryturn.clients.buffers import SYSTEM_BUFFER_FACTOR
 from celeryturn.http.sliced_reads import SlicedReads
 from celeryturn.http.turn_scheduler import Slice
 from celeryturn.http.unsent_bytes import (
@@ -32,8 +33,6 @@
 READ_CHECK_COUNT: Final = 40
 # Checks until a client has begun to read, if it reads bit by bit.
 BEGIN_CHECK_COUNT: Final = 4
-# The system holds up to twice the size of a buffer.
-SYSTEM_BUFFER_FACTOR: Final = 2
 
 
 class ChargedConnection(SlicedReads):
--- a/celeryturn/http/client.py
+++ b/celeryturn/http/client.py
@@ -1,6 +1,7 @@
 """HTTP client connections that carry one exchange at a time."""
 
 import asyncio
+import contextlib
 import math
 import re
 import socket
@@ -9,16 +10,20 @@
 
 import h11
 
-from celeryturn.clients.buffers import limit_send_buffer
+from celeryturn.clients.buffers import limit_target_buffers
 from celeryturn.clock import boottime_seconds
+from celeryturn.http.charged_reply import ChargedReply
+from celeryturn.http.exchange_errors import (
+    BrokenOffError,
+    ExchangeError,
+    ReplyTooLargeError,
+)
 from celeryturn.http.incoming_bytes import unparsed_size
 from celeryturn.http.incoming_reply import (
-    IncomingReply,
     ReplyFault,
     append_chunk,
     check_status,
     count_preceding,
-    drop_body,
 )
 from celeryturn.http.messages import (
     HttpReply,
@@ -27,8 +32,6 @@
     encode_headers,
     header,
 )
-from celeryturn.http.sliced_reads import SlicedReads
-from celeryturn.http.unsent_bytes import UNREAD_REQUESTS
 from celeryturn.number_text import read_decimal
 from celeryturn.timer import Timer
 
@@ -44,19 +47,7 @@
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(r'timeout\s*=\s*([0-9]+)')
 
 
-class ExchangeError(ConnectionError):
-    """The connection ended or violated HTTP before a complete reply."""
-
-
-class BrokenOffError(ExchangeError):
-    """The connection ended before a complete reply."""
-
-
-class ReplyTooLargeError(ExchangeError):
-    """The reply is larger than any that is received."""
-
-
-class Connection(SlicedReads):
+class Connection(ChargedReply):
     """A client connection that is reused only after complete exchanges.
 
     :param is_open: Whether the transport is open and may be used.
@@ -68,15 +59,13 @@
     """
 
     def __init__(self, host: str) -> None:
-        super().__init__(UNREAD_REQUESTS, _make_machine)
-        self.is_open = False
+        super().__init__()
         self.opened_seconds = 0.0
         self.idle_seconds = math.inf
         self.reply_count = 0
         self._host = host
         self._on_done: OnDone | None = None
         self._reply = HttpReply(0)
-        self._incoming = IncomingReply()
         self._timer = Timer()
         self._request: HttpRequest | None = None
         self._reply_filter: ReplyFilter | None = None
@@ -99,7 +88,7 @@
         self.is_open = False
         self._timer.disarm()
         super().connection_lost(exc)
-        self._complete(BrokenOffError(f'connection lost: {exc}'))
+        self._complete(self._fault or BrokenOffError(f'connection lost: {exc}'))
         if self._on_closed is not None:
             self._on_closed()
             self._on_closed = None
@@ -144,15 +133,16 @@
         self._request = request
         self._reply_filter = reply_filter
         self._incoming.preceding_count = 0
-        drop_body(self._incoming)
+        self._discard()
         if self._transport is not None:
-            self._write(self._serialize(request))
+            machine = self._bytes.machine
+            self._write(_serialize(machine, self._host, request))
 
     def close(self) -> None:
         """Close immediately; an exchange in flight gets no callback."""
         self.is_open = False
         self._on_done = None
-        drop_body(self._incoming)
+        self._discard()
         self._abort()
 
     def close_gracefully(self, on_closed: Callable[[], None]) -> None:
@@ -164,7 +154,8 @@
         """
         self.is_open = False
         self._on_done = None
-        drop_body(self._incoming)
+        self._bytes.received = b''
+        self._discard()
         if self._transport is None or self._transport.is_closing():
             on_closed()
             return
@@ -206,23 +197,8 @@
         reply: HttpReply = await future
         return reply
 
-    def _serialize(self, request: HttpRequest) -> bytes:
-        headers = list(request.headers)
-        if header(request.headers, 'host') is None:
-            headers.insert(0, ('host', self._host))
-        if request.body or request.method not in _METHODS_WITHOUT_BODY:
-            headers.append(('content-length', str(len(request.body))))
-        machine = self._bytes.machine
-        head = machine.send(
-            h11.Request(
-                method=request.method,
-                target=request.url,
-                headers=encode_headers(headers),
-            )
-        )
-        body = machine.send(h11.Data(request.body)) if request.body else b''
-        end = machine.send(h11.EndOfMessage())
-        return b''.join((head or b'', body or b'', end or b''))
+    def _is_receiving(self) -> bool:
+        return self.is_open and self._on_done is not None
 
     def _may_parse(self) -> bool:
         return self._on_done is not None and super()._may_parse()
@@ -239,6 +215,7 @@
         if isinstance(event, h11.Response):
             headers = decode_headers(event.headers)
             self._reply = HttpReply(event.status_code, headers)
+            self._incoming.header_count = len(headers)
             return self._may_continue(check_status(event.status_code))
         if isinstance(event, h11.Data):
             chunk = bytes(event.data)
@@ -288,9 +265,9 @@
         # This is a late reply to an earlier request.  The expected reply may
         # follow on the same connection, so start over with a new parser.
         self._bytes.restart()
-        drop_body(self._incoming)
+        self._discard()
         if self._request is not None:
-            self._serialize(self._request)
+            _serialize(self._bytes.machine, self._host, self._request)
         return True
 
     def _abort_unsolicited(self) -> None:
@@ -307,7 +284,7 @@
     def _complete(self, outcome: HttpReply | Exception) -> None:
         on_done = self._on_done
         self._on_done = None
-        drop_body(self._incoming)
+        self._discard()
         if on_done is not None:
             on_done(outcome)
 
@@ -315,8 +292,24 @@
 _METHODS_WITHOUT_BODY: Final = frozenset(('GET', 'HEAD'))
 
 
-def _make_machine() -> h11.Connection:
-    return h11.Connection(h11.CLIENT)
+def _serialize(
+    machine: h11.Connection, host: str, request: HttpRequest
+) -> bytes:
+    headers = list(request.headers)
+    if header(request.headers, 'host') is None:
+        headers.insert(0, ('host', host))
+    if request.body or request.method not in _METHODS_WITHOUT_BODY:
+        headers.append(('content-length', str(len(request.body))))
+    head = machine.send(
+        h11.Request(
+            method=request.method,
+            target=request.url,
+            headers=encode_headers(headers),
+        )
+    )
+    body = machine.send(h11.Data(request.body)) if request.body else b''
+    end = machine.send(h11.EndOfMessage())
+    return b''.join((head or b'', body or b'', end or b''))
 
 
 def stated_idle_seconds(reply: HttpReply) -> float:
@@ -354,18 +347,30 @@
     """
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout_seconds):
-        transport, connection = await loop.create_connection(
-            lambda: Connection(f'{address}:{port}'),
-            address,
-            port,
-            local_addr=(local_address, 0) if local_address else None,
+        connected_socket = await _connect_socket(address, port, local_address)
+        _, connection = await loop.create_connection(
+            lambda: Connection(f'{address}:{port}'), sock=connected_socket
         )
-    connected_socket = transport.get_extra_info('socket')
     _enable_keepalive(connected_socket)
-    limit_send_buffer(connected_socket)
     return connection
 
 
+async def _connect_socket(
+    address: str, port: int, local_address: str | None
+) -> socket.socket:
+    family = socket.AF_INET6 if ':' in address else socket.AF_INET
+    with contextlib.ExitStack() as clean_up:
+        connecting = clean_up.enter_context(socket.socket(family))
+        connecting.setblocking(False)
+        limit_target_buffers(connecting)
+        if local_address:
+            connecting.bind((local_address, 0))
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(connecting, (address, port))
+        clean_up.pop_all()
+    return connecting
+
+
 def _enable_keepalive(connected_socket: socket.socket) -> None:
     # Lets the system detect a network path that stopped responding without a
     # reset.
--- a/celeryturn/http/incoming_reply.py
+++ b/celeryturn/http/incoming_reply.py
@@ -2,8 +2,6 @@
 
 from typing import Final, NamedTuple
 
-from celeryturn.http.reply_memory import REPLY_MEMORY, release, reserve
-
 MAX_STATUS: Final = 599
 MAX_REPLY_BYTES: Final = 4_000_000
 # Late replies to earlier requests, and interim responses, before the reply.
@@ -25,15 +23,17 @@
     """Reply that is being received.
 
     :param body: The body so far.
+    :param header_count: Number of its headers, once they are complete.
     :param preceding_count: Replies that were skipped before this one.
     """
 
-    __slots__ = ('body', 'preceding_count')
+    __slots__ = ('body', 'header_count', 'preceding_count')
 
     def __init__(self) -> None:
         # One object for each chunk would take many times the memory of a
         # small one.
         self.body = bytearray()
+        self.header_count = 0
         self.preceding_count = 0
 
 
@@ -56,8 +56,6 @@
     :param chunk: The chunk.
     :returns: Why the reply must not be received any further, or ``None``.
     """
-    if not reserve(REPLY_MEMORY, len(incoming.body), len(chunk)):
-        return ReplyFault('replies take too much memory together')
     incoming.body += chunk
     if len(incoming.body) > MAX_REPLY_BYTES:
         detail = f'reply is larger than {MAX_REPLY_BYTES} bytes'
@@ -77,12 +75,3 @@
             f'more than {MAX_PRECEDING_REPLIES} replies before this one'
         )
     return None
-
-
-def drop_body(incoming: IncomingReply) -> None:
-    """Discard the body and release its memory.
-
-    :param incoming: The reply.
-    """
-    release(REPLY_MEMORY, len(incoming.body))
-    incoming.body.clear()
--- a/celeryturn/http/reply_memory.py
+++ b/celeryturn/http/reply_memory.py
@@ -1,10 +1,10 @@
 """Memory that replies of targets take together in this process.
 
 The limit of a single reply does not bound the sum: a request to many shards
-receives as many replies at once.
+receives as many replies at once, and targets may send bytes without end.
 """
 
-from typing import Final
+from typing import Final, Protocol
 
 from celeryturn.clients.account import (
     CLIENT_ACCOUNT,
@@ -13,8 +13,17 @@
     make_room,
 )
 
-# A reply up to this size is received however much the others take.
-GUARANTEED_REPLY_BYTES: Final = 65_536
+# A reply that holds no more than this is received however much others hold.
+GUARANTEED_REPLY_BYTES: Final = 4096
+# Clients do not give way to replies that hold more than this together.
+INCOMING_SHARE: Final = 0.5
+
+
+class HeldReply(Protocol):
+    """A reply that is being received."""
+
+    def give_way(self) -> None:
+        """End the exchange and discard what was received."""
 
 
 class ReplyMemory:
@@ -22,33 +31,60 @@
 
     :param account: Account that they are charged to.
     :param used_bytes: Bytes held at present.
+    :param incoming: Size of what each reply holds that is not complete.
+    :param incoming_bytes: Sum of these sizes.
+    :param dropped_count: Replies that gave way, since the start.
     """
 
-    __slots__ = ('account', 'used_bytes')
+    __slots__ = (
+        'account',
+        'dropped_count',
+        'incoming',
+        'incoming_bytes',
+        'used_bytes',
+    )
 
     def __init__(self, account: ClientAccount) -> None:
         self.account = account
         self.used_bytes = 0
+        self.incoming: dict[HeldReply, int] = {}
+        self.incoming_bytes = 0
+        self.dropped_count = 0
 
 
-def reserve(memory: ReplyMemory, reply_bytes: int, added_bytes: int) -> bool:
-    """Reserve memory for a reply that grows.
+def resize(memory: ReplyMemory, reply: HeldReply, size_bytes: int) -> bool:
+    """Record the size of a reply that is being received.
+
+    If there is no room for it, larger replies give way, since one without end
+    becomes the largest.
 
     :param memory: Memory of all replies.
-    :param reply_bytes: Bytes of this reply that are already reserved.
-    :param added_bytes: Further bytes.
-    :returns: Whether they were reserved; ``False`` if the reply is larger than
-        :data:`GUARANTEED_REPLY_BYTES` and no connection of a client gives way
-        to it.
+    :param reply: The reply.
+    :param size_bytes: Size of all that it holds.
+    :returns: Whether there is room; ``False`` if no other reply is larger.
     """
-    size_bytes = reply_bytes + added_bytes
-    has_room = make_room(memory.account, size_bytes, added_bytes)
-    if size_bytes > GUARANTEED_REPLY_BYTES and not has_room:
-        return False
-    hold(memory, added_bytes)
+    drop(memory, reply)
+    memory.incoming[reply] = size_bytes
+    memory.incoming_bytes += size_bytes
+    hold(memory, size_bytes)
+    while not _has_room(memory, size_bytes):
+        if not _drop_larger(memory, size_bytes):
+            memory.dropped_count += 1
+            return False
     return True
 
 
+def drop(memory: ReplyMemory, reply: HeldReply) -> None:
+    """Release what a reply holds that is being received.
+
+    :param memory: Memory of all replies.
+    :param reply: The reply; no effect if it holds nothing.
+    """
+    size_bytes = memory.incoming.pop(reply, 0)
+    memory.incoming_bytes -= size_bytes
+    release(memory, size_bytes)
+
+
 def hold(memory: ReplyMemory, held_bytes: int) -> None:
     """Record bytes that are kept until a request has ended.
 
@@ -69,4 +105,26 @@
     charge(memory.account, -released_bytes)
 
 
+def _has_room(memory: ReplyMemory, size_bytes: int) -> bool:
+    if size_bytes <= GUARANTEED_REPLY_BYTES:
+        return True
+    account = memory.account
+    share_bytes = INCOMING_SHARE * account.limit_bytes
+    if memory.incoming_bytes > share_bytes and len(memory.incoming) > 1:
+        return False
+    return make_room(account, size_bytes)
+
+
+def _drop_larger(memory: ReplyMemory, size_bytes: int) -> bool:
+    largest = max(
+        memory.incoming, key=memory.incoming.__getitem__, default=None
+    )
+    if largest is None or memory.incoming[largest] <= size_bytes:
+        return False
+    memory.dropped_count += 1
+    drop(memory, largest)
+    largest.give_way()
+    return True
+
+
 REPLY_MEMORY: Final = ReplyMemory(CLIENT_ACCOUNT)
--- a/celeryturn/metrics.py
+++ b/celeryturn/metrics.py
@@ -81,6 +81,7 @@
     ('client_limit_bytes', 'Bytes that may be held for them'),
     ('client_connections', 'Open connections of clients, at all ports'),
     ('clients_closed', 'Connections closed since others needed the room'),
+    ('replies_dropped', 'Replies of targets dropped, since there was no room'),
 )
 
 
--- a/celeryturn/platform/store.py
+++ b/celeryturn/platform/store.py
@@ -8,7 +8,8 @@
 
 from celeryturn.decisions.store_position import StorePosition
 from celeryturn.events import CHANGES_TOO_LARGE, HEADER_IGNORED, log
-from celeryturn.http.client import Connection, ReplyTooLargeError, connect
+from celeryturn.http.client import Connection, connect
+from celeryturn.http.exchange_errors import ReplyTooLargeError
 from celeryturn.http.messages import HttpReply, HttpRequest, header
 from celeryturn.number_text import read_count
 from celeryturn.schema import UNREADABLE_ERRORS
--- a/tests/steps/bounded_turns.py
+++ b/tests/steps/bounded_turns.py
@@ -19,7 +19,8 @@
 from websockets.frames import Frame
 
 from celeryturn.http import incoming_bytes, sliced_reads
-from celeryturn.http.client import Connection, ExchangeError
+from celeryturn.http.client import Connection
+from celeryturn.http.exchange_errors import ExchangeError
 from celeryturn.http.server import ServerConnection
 from celeryturn.http.turn_scheduler import (
     BACKLOG_SLICES,
--- a/tests/steps/crowds.py
+++ b/tests/steps/crowds.py
@@ -136,12 +136,21 @@
     context: Context, memory_mb: int, descriptor_count: int, count: int
 ) -> None:
     """Start ``celeryturn.node``, with a route to targets that do not read."""
-    context.shards = [_listen(context) for _ in range(count)]
-    start_node(context, memory_mb, descriptor_count, 0)
+    ports = [_listen(context) for _ in range(count)]
+    limits = ProcessLimits(memory_mb, descriptor_count)
+    start_node_over(context, limits, ports)
+
+
+def start_node_over(
+    context: Context, limits: ProcessLimits, shard_ports: list[int]
+) -> None:
+    """Start ``celeryturn.node`` with a route to shards on some ports."""
+    context.target_ports = frozenset(shard_ports)
+    start_node(context, *limits, 0)
     world = context.routed
-    names = [f'shard-{number}' for number in range(count)]
-    for name, shard in zip(names, context.shards, strict=True):
-        world.list_port(name, name, shard.getsockname()[1])
+    names = [f'shard-{number}' for number in range(len(shard_ports))]
+    for name, port in zip(names, shard_ports, strict=True):
+        world.list_port(name, name, port)
     routes = (plain_route(SERVICE), gather_route(names))
     world.publish(2, *routes)
     run(context, _wait_for_route(context.ports['front']))
@@ -151,7 +160,10 @@
 def send_to_shards(context: Context, count: int, behaviour: str) -> None:
     """Let a crowd send requests that each shard gets."""
     place = Place(context.ports['front'], '/all/x', FRONT_BODY_BYTES)
-    run(context, _watched(context, context.crowd.send(place, behaviour, count)))
+    run(
+        context,
+        watch_while(context, context.crowd.send(place, behaviour, count)),
+    )
 
 
 @when('{count:d} clients send {behaviour} to its {listener} port')
@@ -160,7 +172,10 @@
 ) -> None:
     """Let a crowd send, and keep its connections open."""
     place = _make_place(context, listener)
-    run(context, _watched(context, context.crowd.send(place, behaviour, count)))
+    run(
+        context,
+        watch_while(context, context.crowd.send(place, behaviour, count)),
+    )
 
 
 def _make_place(context: Context, listener: str) -> Place:
@@ -216,7 +231,7 @@
 def expect_whole_answer(context: Context) -> None:
     """Check that nothing is missing at the end."""
     waiting = asyncio.wait_for(context.reading, ANSWER_SECONDS)
-    run(context, _watched(context, waiting))
+    run(context, watch_while(context, waiting))
     head, _, body = context.reader.received.partition(b'\r\n\r\n')
     stated = re.search(rb'content-length: (\d+)', head.lower())
     assert stated is not None, head
@@ -228,7 +243,9 @@
 @then('an ordinary request is answered')
 def expect_answer(context: Context) -> None:
     """Send an ordinary request on a new connection until it is answered."""
-    run(context, _watched(context, _wait_for_answer(context, ANSWER_SECONDS)))
+    run(
+        context, watch_while(context, _wait_for_answer(context, ANSWER_SECONDS))
+    )
 
 
 @then('the process has stayed within its memory')
@@ -237,7 +254,8 @@
     limited = context.limited
     assert limited.process.poll() is None, limited.log.read_text()[-2000:]
     bound_bytes = limited.limits.memory_mb * MEGABYTE
-    assert limited.most_bytes <= bound_bytes, limited.most_bytes
+    seen = (limited.most_bytes, limited.most_kernel_bytes)
+    assert limited.most_bytes <= bound_bytes, seen
 
 
 @then('the process has stayed within its descriptors')
@@ -272,10 +290,11 @@
     world.store.put('op/config', msgspec.json.encode(world.config))
 
 
-def _listen(context: Context) -> socket.socket:
+def _listen(context: Context) -> int:
     listener = socket.create_server((ADDRESS, 0))
     context.add_cleanup(listener.close)
-    return listener
+    port: int = listener.getsockname()[1]
+    return port
 
 
 def _name_ports(names: tuple[str, ...]) -> dict[str, int]:
@@ -299,7 +318,10 @@
         arguments,
         variables,
         limits,
-        Ports(frozenset(context.ports.values()), _target_ports(context)),
+        Ports(
+            frozenset(context.ports.values()),
+            getattr(context, 'target_ports', frozenset()),
+        ),
         _make_folder(context) / 'log',
         limits_resources=not variables,
     )
@@ -309,12 +331,10 @@
     run(context, _wait_for_answer(context, START_SECONDS))
 
 
-def _target_ports(context: Context) -> frozenset[int]:
-    shards = getattr(context, 'shards', ())
-    return frozenset(shard.getsockname()[1] for shard in shards)
-
-
-async def _watched(context: Context, work: Coroutine[Any, Any, None]) -> None:
+async def watch_while(
+    context: Context, work: Coroutine[Any, Any, None]
+) -> None:
+    """Record what the process uses during some work."""
     watching = asyncio.create_task(context.limited.watch())
     try:
         await work
--- a/tests/steps/cut_replies.py
+++ b/tests/steps/cut_replies.py
@@ -10,7 +10,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from celeryturn.http.client import ExchangeError, connect
+from celeryturn.http.client import connect
+from celeryturn.http.exchange_errors import ExchangeError
 from celeryturn.http.messages import HttpReply, HttpRequest
 from tests.support.cutting_proxy import CuttingProxy
 from tests.support.resets import end_connection
--- a/tests/steps/endless_replies.py
+++ b/tests/steps/endless_replies.py
@@ -6,8 +6,13 @@
 from behave.runner import Context
 
 from celeryturn.clients.account import CLIENT_ACCOUNT, LARGE_SHARE
-from celeryturn.http import incoming_reply
-from celeryturn.http.reply_memory import REPLY_MEMORY, reserve
+from celeryturn.http import charged_reply
+from celeryturn.http.reply_memory import (
+    REPLY_MEMORY,
+    HeldReply,
+    ReplyMemory,
+    resize,
+)
 from standins.shard_target import Fault
 from tests.support.routed import SERVICE, get_world, run
 
@@ -22,14 +27,14 @@
     context.add_cleanup(limit.stop)
     context.max_used_bytes = 0
 
-    def record_use(*arguments: int) -> bool:
-        is_reserved = reserve(*arguments)  # type: ignore[arg-type]
-        context.max_used_bytes = max(
-            context.max_used_bytes, REPLY_MEMORY.used_bytes
-        )
-        return is_reserved
+    def record_use(
+        memory: ReplyMemory, reply: HeldReply, size_bytes: int
+    ) -> bool:
+        has_room = resize(memory, reply, size_bytes)
+        context.max_used_bytes = max(context.max_used_bytes, memory.used_bytes)
+        return has_room
 
-    recording = mock.patch.object(incoming_reply, 'reserve', record_use)
+    recording = mock.patch.object(charged_reply, 'resize', record_use)
     recording.start()
     context.add_cleanup(recording.stop)
 
--- a/tests/steps/late_own_requests.py
+++ b/tests/steps/late_own_requests.py
@@ -8,7 +8,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from celeryturn.http.client import ExchangeError, fetch
+from celeryturn.http.client import fetch
+from celeryturn.http.exchange_errors import ExchangeError
 from celeryturn.http.messages import HttpReply, HttpRequest
 from tests.support.routed import run
 from tests.support.world import until
--- a/tests/steps/statuses.py
+++ b/tests/steps/statuses.py
@@ -6,7 +6,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from celeryturn.http.client import ExchangeError, connect
+from celeryturn.http.client import connect
+from celeryturn.http.exchange_errors import ExchangeError
 from celeryturn.http.messages import HttpReply, HttpRequest, header
 from tests.support.raw_target import RawTarget, add_raw_target
 from tests.support.routed import ADDRESS, get_world, run
--- a/tests/support/raw_target.py
+++ b/tests/support/raw_target.py
@@ -19,11 +19,15 @@
     """Replies to each request with given bytes.
 
     :param reply: The bytes, after which it closes the connection.
+    :param repeated: What it sends after them until the connection is closed;
+        empty for nothing.
     """
 
-    def __init__(self, reply: bytes) -> None:
+    def __init__(self, reply: bytes, repeated: bytes = b'') -> None:
         self.reply = reply
+        self.repeated = repeated
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> int:
         """Start to listen.
@@ -35,18 +39,22 @@
         return port
 
     def close(self) -> None:
-        """Stop to listen."""
+        """Stop to listen, and break off all connections."""
         assert self._server is not None
         self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             await self._reply(reader, writer)
         except (OSError, EOFError):
             return
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _reply(
@@ -55,6 +63,9 @@
         await reader.readuntil(HEAD_END)
         writer.write(self.reply)
         await writer.drain()
+        while self.repeated:
+            writer.write(self.repeated)
+            await writer.drain()
 
 
 async def add_raw_target(
