Bound the connections to targets of one process

What callers saw: while many targets did not end their replies, a process opened over 2,000 connections to them. Without descriptors left, it accepts no caller.

Cause: connections of clients have a limit that follows from the descriptors of the process. Those to targets had one for each target only, MaxConns, and their sum had none.

How connections to targets are opened, and how many there are, is one object now, which all pools share, so that tests replace it once. A field of exchanges that nothing read is gone.

Evidence: tests/http/floods.feature checks the descriptors too.

--- a/celeryturn/forwarding/shared_state.py
+++ b/celeryturn/forwarding/shared_state.py
@@ -19,9 +19,9 @@
 from celeryturn.forwarding.route_states import RouteStates
 from celeryturn.forwarding.settings import ForwardingSettings
 from celeryturn.forwarding.store.progress import StoreProgress
-from celeryturn.forwarding.targets.pools import Connector, Pool
+from celeryturn.forwarding.targets.connections import TargetConnections
+from celeryturn.forwarding.targets.pools import Pool
 from celeryturn.forwarding.targets.restarts import make_discarder
-from celeryturn.http.client import connect
 from celeryturn.instance import Instance
 from celeryturn.platform.documents import decode_table
 
@@ -62,7 +62,7 @@
     :param table_body: The current routes as they were published, for peers.
     :param directory: Known targets and their observed state.
     :param pools: Connection pools by target.
-    :param connect_target: Opens a connection to a target.
+    :param target_connections: Connections of all pools together.
     :param links: Whether this instance reaches its targets at all.
     :param fleet_share: Share of this instance in the limits of the targets.
     :param route_states: What is observed of each route.
@@ -82,7 +82,7 @@
         self.table_body = b''
         self.pools: dict[str, Pool] = {}
         self.directory = Directory(make_discarder(self.pools))
-        self.connect_target: Connector = connect
+        self.target_connections = TargetConnections()
         self.links = TargetLinks(now())
         self.fleet_share = FleetShare(instance.membership, now())
         self.route_states = RouteStates(now(), _own_reporter(instance))
--- a/celeryturn/forwarding/targets/ends.py
+++ b/celeryturn/forwarding/targets/ends.py
@@ -177,7 +177,7 @@
 async def _connect(shared: SharedState, replica: Replica) -> Connection:
     entry = replica.entry
     async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
-        return await shared.connect_target(
+        return await shared.target_connections.connect(
             entry.address, entry.port, PROBE_TIMEOUT_SECONDS
         )
 
--- a/celeryturn/forwarding/targets/links.py
+++ b/celeryturn/forwarding/targets/links.py
@@ -132,7 +132,7 @@
     entry = replica.entry
     with contextlib.suppress(OSError):
         async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
-            connection = await shared.connect_target(
+            connection = await shared.target_connections.connect(
                 entry.address, entry.port, PROBE_TIMEOUT_SECONDS
             )
         connection.close()
--- a/celeryturn/forwarding/targets/pool_access.py
+++ b/celeryturn/forwarding/targets/pool_access.py
@@ -34,7 +34,7 @@
     entry = replica.entry
     pool = shared.pools.get(entry.target)
     if pool is None:
-        pool = Pool(entry.address, entry.port, 0, shared.connect_target)
+        pool = Pool(entry.address, entry.port, 0, shared.target_connections)
         shared.pools[entry.target] = pool
     pool.connection_share = _compute_share(shared, replica)
     return pool
--- a/celeryturn/forwarding/targets/pools.py
+++ b/celeryturn/forwarding/targets/pools.py
@@ -7,23 +7,23 @@
 import functools
 import heapq
 from collections import deque
-from collections.abc import Awaitable, Callable
-from typing import Final, NamedTuple, TypeAlias
+from typing import Final, NamedTuple
 
 from celeryturn.clock import boottime_seconds
 from celeryturn.decisions.request.reply_identity import IdentifierUse
+from celeryturn.forwarding.targets.connections import (
+    TargetConnections,
+    has_reached_limit,
+)
 from celeryturn.forwarding.targets.exchanges import (
     Exchange,
     NotSentError,
     Outcome,
     WithdrawnError,
 )
-from celeryturn.http.client import Connection, connect
+from celeryturn.http.client import Connection
 from celeryturn.http.exchange_errors import ExchangeError
 
-# Opens a connection to an address and port, within a number of seconds.
-Connector: TypeAlias = Callable[[str, int, float], Awaitable[Connection]]
-
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
 IDLE_MARGIN_SECONDS: Final = 0.6
 RESET_BACKOFF_SECONDS: Final = 1.0
@@ -51,7 +51,8 @@
     :param connection_share: Part of the connection limit of the target that
         this instance may use; :data:`MIN_CONNECTION_SHARE` applies if it is
         lower.
-    :param connector: Opens a connection.
+    :param connections: Connections of all pools.  Beyond their limit, each
+        pool may use :data:`MIN_CONNECTION_SHARE`.
     :param connection_count: Number of connections that are open or being
         opened.
     :param idle: Idle connections, the most recently used last.
@@ -69,7 +70,7 @@
         'address',
         'connection_count',
         'connection_share',
-        'connector',
+        'connections',
         'identifier_use',
         'idle',
         'is_open',
@@ -84,9 +85,9 @@
         address: str,
         port: int,
         connection_share: int,
-        connector: Connector = connect,
+        connections: TargetConnections,
     ) -> None:
-        self.connector = connector
+        self.connections = connections
         self.address = address
         self.port = port
         self.connection_share = connection_share
@@ -194,11 +195,13 @@
     if pool.connection_count >= _max_connections(pool):
         connection.close()
         return
-    pool.connection_count += 1
+    _count_connection(pool)
     _use_or_keep(pool, connection)
 
 
 def _max_connections(pool: Pool) -> int:
+    if has_reached_limit(pool.connections):
+        return MIN_CONNECTION_SHARE
     return max(pool.connection_share, MIN_CONNECTION_SHARE)
 
 
@@ -232,7 +235,7 @@
 
 
 def _start_opening(pool: Pool) -> None:
-    pool.connection_count += 1
+    _count_connection(pool)
     task = asyncio.get_running_loop().create_task(_connect(pool))
     pool.opening.add(task)
     task.add_done_callback(pool.opening.discard)
@@ -241,7 +244,7 @@
 async def _connect(pool: Pool) -> None:
     task = asyncio.current_task()
     try:
-        connection = await pool.connector(
+        connection = await pool.connections.connect(
             pool.address, pool.port, CONNECT_TIMEOUT_SECONDS
         )
     except OSError as error:
@@ -340,5 +343,11 @@
     return None
 
 
+def _count_connection(pool: Pool) -> None:
+    pool.connection_count += 1
+    pool.connections.open_count += 1
+
+
 def _forget_connection(pool: Pool) -> None:
     pool.connection_count -= 1
+    pool.connections.open_count -= 1
--- a/celeryturn/targets/links.py
+++ b/celeryturn/targets/links.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Container
 from typing import Final, NamedTuple, TypeAlias
 
+from celeryturn.clients.account import CLIENT_ACCOUNT
 from celeryturn.decisions.configuration.document import Target
 from celeryturn.decisions.load import limits
 from celeryturn.decisions.targets.views import TargetView
@@ -23,6 +24,8 @@
 OnEnd: TypeAlias = Callable[['Exchange', Outcome], None]
 
 MAX_LINKS: Final = 8192
+# Exchanges of one link that are admitted however many connections are open.
+GUARANTEED_EXCHANGES: Final = 2
 
 
 class NotSentError(ConnectionError):
@@ -85,13 +88,11 @@
     :param link: The link that the exchange was submitted to.
     :param connection: The connection in use, if any.
     :param written_seconds: Time of the write; zero before it.
-    :param is_admitted: Whether the gate has admitted the exchange.
     :param is_ended: Whether the exchange has ended; no callback follows.
     """
 
     __slots__ = (
         'connection',
-        'is_admitted',
         'is_ended',
         'link',
         'ticket',
@@ -103,7 +104,6 @@
         self.link: Link | None = None
         self.connection: Connection | None = None
         self.written_seconds = 0.0
-        self.is_admitted = False
         self.is_ended = False
 
 
@@ -136,12 +136,17 @@
     :param own_address: Local address to connect from; chosen by the system
         by default.
     :param opening: Tasks that open connections.
+    :param admitted_count: Exchanges that are admitted and have not ended, each
+        with a connection.
+    :param idle_count: Connections without an exchange, of all links.
     :param last_ticket: Ticket of the most recently submitted exchange.
     """
 
     __slots__ = (
+        'admitted_count',
         'clock',
         'connect_timeout_seconds',
+        'idle_count',
         'last_ticket',
         'links',
         'opening',
@@ -159,6 +164,8 @@
         self.clock = clock
         self.connect_timeout_seconds = connect_timeout_seconds
         self.opening: set[asyncio.Task[None]] = set()
+        self.admitted_count = 0
+        self.idle_count = 0
         self.last_ticket = 0
 
 
@@ -184,7 +191,7 @@
     link = links.links.get(link_key)
     if link is None or link.address != address or link.view is not view:
         if link is not None:
-            _retire(link)
+            _retire(links, link)
         link = Link(address, view)
         links.links[link_key] = link
         _drop_oldest_links(links)
@@ -201,12 +208,14 @@
     for link_key in tuple(links.links):
         link_service, target = link_key
         if link_service == service and target not in targets:
-            _retire(links.links.pop(link_key))
+            _retire(links, links.links.pop(link_key))
 
 
 def submit(links: Links, link: Link, exchange: Exchange) -> bool:
     """Send an exchange, or let it wait for admission.
 
+    It is refused if the target or this process has no connection for it.
+
     :param links: All links.
     :param link: The link to the target of the exchange.
     :param exchange: The exchange.
@@ -215,18 +224,13 @@
     links.last_ticket += 1
     exchange.status.ticket = links.last_ticket
     exchange.status.link = link
-    admission = limits.offer(
-        link.view.gate,
-        exchange.urgency,
-        limits.QueuedRequest(links.last_ticket, exchange.deadline_seconds),
-    )
+    admission = _offer(links, link, exchange)
     if admission is limits.AdmissionResult.REFUSE:
         exchange.status.is_ended = True
         return False
     if admission is limits.AdmissionResult.WAIT:
         link.waiting[exchange.status.ticket] = exchange
     else:
-        exchange.status.is_admitted = True
         _transmit(links, link, exchange)
     return True
 
@@ -266,12 +270,35 @@
         task.cancel()
     await asyncio.gather(*links.opening, return_exceptions=True)
     for link in links.links.values():
-        _retire(link)
+        _retire(links, link)
     links.links.clear()
 
 
+def _offer(
+    links: Links, link: Link, exchange: Exchange
+) -> limits.AdmissionResult:
+    gate = link.view.gate
+    is_guaranteed = gate.in_flight < GUARANTEED_EXCHANGES
+    if not is_guaranteed and _has_reached_limit(links):
+        return limits.AdmissionResult.REFUSE
+    return limits.offer(
+        gate,
+        exchange.urgency,
+        limits.QueuedRequest(exchange.status.ticket, exchange.deadline_seconds),
+    )
+
+
+def _has_reached_limit(links: Links) -> bool:
+    limit = CLIENT_ACCOUNT.max_target_connections
+    if links.admitted_count + links.idle_count >= limit:
+        for link in links.links.values():
+            _close_idle(links, link)
+    return links.admitted_count >= limit
+
+
 def _transmit(links: Links, link: Link, exchange: Exchange) -> None:
-    connection = _pop_idle(link)
+    links.admitted_count += 1
+    connection = _pop_idle(links, link)
     if connection is not None:
         _write(links, link, exchange, connection)
         return
@@ -291,7 +318,7 @@
         _fail_opening(links, link, exchange, NotSentError(str(error)))
         return
     if exchange.status.is_ended:
-        _return_connection(link, connection)
+        _return_connection(links, link, connection)
         _release(links, link)
     else:
         _write(links, link, exchange, connection)
@@ -312,7 +339,7 @@
     try:
         request = exchange.make_request()
     except CeleryturnError as error:
-        _return_connection(link, connection)
+        _return_connection(links, link, connection)
         _end_exchange(links, link, exchange, error)
         return
     exchange.status.connection = connection
@@ -320,7 +347,7 @@
 
     def on_done(outcome: Outcome) -> None:
         if connection.is_idle:
-            _return_connection(link, connection)
+            _return_connection(links, link, connection)
         exchange.status.connection = None
         _end_exchange(links, link, exchange, outcome)
 
@@ -338,27 +365,32 @@
 
 
 def _release(links: Links, link: Link) -> None:
+    links.admitted_count -= 1
     for waiting in limits.release(link.view.gate, links.clock()):
         exchange = link.waiting.pop(waiting.ticket, None)
         if exchange is None:
+            links.admitted_count += 1
             _release(links, link)
         else:
-            exchange.status.is_admitted = True
             _transmit(links, link, exchange)
 
 
-def _pop_idle(link: Link) -> Connection | None:
+def _pop_idle(links: Links, link: Link) -> Connection | None:
     while link.idle:
         connection = link.idle.pop()
+        links.idle_count -= 1
         if connection.is_idle:
             return connection
     return None
 
 
-def _return_connection(link: Link, connection: Connection) -> None:
+def _return_connection(
+    links: Links, link: Link, connection: Connection
+) -> None:
     held_count = len(link.idle) + link.view.gate.in_flight
     if link.is_current and held_count <= link.view.gate.share:
         link.idle.append(connection)
+        links.idle_count += 1
     else:
         connection.close()
 
@@ -367,10 +399,15 @@
     # The oldest link is dropped first.  Exchanges in flight on it are not
     # cancelled and end normally.
     while len(links.links) > MAX_LINKS:
-        _retire(links.links.pop(next(iter(links.links))))
+        _retire(links, links.links.pop(next(iter(links.links))))
 
 
-def _retire(link: Link) -> None:
+def _retire(links: Links, link: Link) -> None:
     link.is_current = False
+    _close_idle(links, link)
+
+
+def _close_idle(links: Links, link: Link) -> None:
+    links.idle_count -= len(link.idle)
     while link.idle:
         link.idle.pop().close()
--- a/tests/http/floods.feature
+++ b/tests/http/floods.feature
@@ -7,6 +7,7 @@
     When <callers> callers search over these shards
     Then an ordinary request is answered
     And the process has stayed within its memory
+    And the process has stayed within its descriptors
 
     Examples:
       | what                     | shards | callers |
@@ -30,6 +31,7 @@
     When <callers> callers search over these shards
     Then an ordinary request is answered
     And the process has stayed within its memory
+    And the process has stayed within its descriptors
 
     Examples:
       | what                     | shards | callers |
--- a/tests/steps/ending_requests.py
+++ b/tests/steps/ending_requests.py
@@ -144,9 +144,7 @@
     async def send_and_break() -> None:
         sending = asyncio.create_task(world.send_all(requests))
         await world.wait_for(lambda: _served_count(world) >= count)
-        shared.connect_target = refuse
-        for pool in shared.pools.values():
-            pool.connector = refuse
+        shared.target_connections.connect = refuse
         for target in world.targets.values():
             target.break_off()
         context.replies = await sending
--- a/tests/steps/lost_links.py
+++ b/tests/steps/lost_links.py
@@ -10,7 +10,8 @@
 from celeryturn.forwarding.app import ForwardingApplication
 from celeryturn.forwarding.peers.helping import may_serve_relayed
 from celeryturn.forwarding.targets.links import list_judged
-from celeryturn.forwarding.targets.pools import Connector, Pool
+from celeryturn.forwarding.targets.connections import Connector
+from celeryturn.forwarding.targets.pools import Pool
 from celeryturn.http.client import connect
 from celeryturn.http.messages import HttpReply, HttpRequest
 from celeryturn.peers.handover_messages import HandoverTerms
@@ -137,9 +138,7 @@
     """Let connections succeed again, and wait until that is noticed."""
     world = get_world(context)
     shared = world.applications[0].shared
-    shared.connect_target = connect
-    for pool in shared.pools.values():
-        pool.connector = connect
+    shared.target_connections.connect = connect
     run(context, world.wait_for(lambda: not shared.links.is_lost))
 
 
@@ -384,8 +383,5 @@
     application: ForwardingApplication | None = None,
 ) -> list[Pool]:
     shared = (application or world.applications[0]).shared
-    shared.connect_target = connector
-    pools = list(shared.pools.values())
-    for pool in pools:
-        pool.connector = connector
-    return pools
+    shared.target_connections.connect = connector
+    return list(shared.pools.values())
--- a/tests/steps/restarted_targets.py
+++ b/tests/steps/restarted_targets.py
@@ -46,7 +46,7 @@
         await context.may_connect.wait()
         return await connect(*arguments)
 
-    shared.connect_target = connect_later
+    shared.target_connections.connect = connect_later
 
 
 @when('the first target is listed with a new start')
@@ -121,7 +121,7 @@
         'say what must happen to each field of the connections'
     )
     entry = _first(shared).entry
-    first = Pool(entry.address, entry.port, 0, shared.connect_target)
+    first = Pool(entry.address, entry.port, 0, shared.target_connections)
     for field, treatment in treatments.items():
         found = getattr(later, field)
         if treatment == 'computed at each use':
--- a/tests/steps/slow_readers.py
+++ b/tests/steps/slow_readers.py
@@ -69,7 +69,7 @@
     world.list_port(DEAF, DEAF, listener.getsockname()[1])
     world.publish(2, plain_route(SERVICE), plain_route(DEAF, prefix))
     shared = world.applications[0].shared
-    shared.connect_target = _connect_with_small_buffers
+    shared.target_connections.connect = _connect_with_small_buffers
     run(
         context,
         world.wait_for(
