--- a/tests/http/statuses.feature
+++ b/tests/http/statuses.feature
@@ -66,6 +66,20 @@
       | 429    |
       | 503    |
 
+  Scenario Outline: The project's own interface does not call a booking not run because of such a status
+    Given a platform
+    And service "reservas" with 1 shards and 1 replicas each
+    And its targets reply with the status "<status>"
+    And 1 instance that is ready
+    When a caller books "site-0000/0" as "b-1"
+    Then the refusal is CT-307 with status 504, "unknown"
+
+    Examples:
+      | status |
+      | 408    |
+      | 429    |
+      | 503    |
+
   Scenario: Another failure of a target is passed on for a booking
     Given a plain route to 1 targets
     And a target of the at-most-once route "/raw/" that replies with the status "500"
