Do not drop replies of the store while others take the memory

What callers could see: while targets do not end their replies, a configuration is the largest reply of all and is dropped again and again, so that an instance keeps old routes.

Cause: replies of the store are received like those of targets.

Change: a reply of the store is charged, and does not give way.

Evidence: two scenarios of tests/http/reply_memory.feature; without the change, the one in which the client of the store reads 900 KB fails, with it both hold.

--- a/celeryturn/http/charged_reply.py
+++ b/celeryturn/http/charged_reply.py
@@ -19,11 +19,14 @@
     A subclass states whether it is receiving a reply.
 
     :param is_open: Whether the transport is open and may be used.
+    :param may_give_way: Whether replies on it may be dropped since others need
+        the room.
     """
 
     def __init__(self) -> None:
         super().__init__(UNREAD_REQUESTS, _make_machine)
         self.is_open = False
+        self.may_give_way = True
         self._incoming = IncomingReply()
         self._fault: ExchangeError | None = None
 
--- a/celeryturn/http/reply_memory.py
+++ b/celeryturn/http/reply_memory.py
@@ -20,7 +20,12 @@
 
 
 class HeldReply(Protocol):
-    """A reply that is being received."""
+    """A reply that is being received.
+
+    :param may_give_way: Whether it may be dropped since others need the room.
+    """
+
+    may_give_way: bool
 
     def give_way(self) -> None:
         """End the exchange and discard what was received."""
@@ -67,7 +72,7 @@
     memory.incoming[reply] = size_bytes
     memory.incoming_bytes += size_bytes
     hold(memory, size_bytes)
-    while not _has_room(memory, size_bytes):
+    while reply.may_give_way and not _has_room(memory, size_bytes):
         if not _drop_larger(memory, size_bytes):
             memory.dropped_count += 1
             return False
@@ -116,10 +121,10 @@
 
 
 def _drop_larger(memory: ReplyMemory, size_bytes: int) -> bool:
-    largest = max(
-        memory.incoming, key=memory.incoming.__getitem__, default=None
-    )
-    if largest is None or memory.incoming[largest] <= size_bytes:
+    sizes = memory.incoming
+    droppable = [reply for reply in sizes if reply.may_give_way]
+    largest = max(droppable, key=sizes.__getitem__, default=None)
+    if largest is None or sizes[largest] <= size_bytes:
         return False
     memory.dropped_count += 1
     drop(memory, largest)
--- a/celeryturn/platform/store.py
+++ b/celeryturn/platform/store.py
@@ -240,6 +240,8 @@
                 self.endpoint.port,
                 CONNECT_TIMEOUT_SECONDS,
             )
+            # Without its replies, routes and targets stay old.
+            connection.may_give_way = False
             self._connection = connection
         return await connection.exchange_within(request, timeout_seconds)
 
--- a/tests/http/reply_memory.feature
+++ b/tests/http/reply_memory.feature
@@ -34,3 +34,17 @@
     And 1000000 bytes of replies that are complete
     When another reply comes to hold 4096 bytes
     Then there is room for it
+
+  # Configurations are large replies; without them, routes stay old.
+  Scenario: A reply of the store does not give way
+    Given an account of 1000000 bytes
+    And a reply of the store that holds 900000 bytes
+    And replies that hold 4000 bytes
+    When another reply comes to hold 80000 bytes
+    Then there is no room for it
+    And no reply gives way
+
+  Scenario: The store is read though there is no memory left for replies
+    Given replies may take 100000 bytes together
+    When the client of the store reads an item of 900000 bytes
+    Then it has that item
--- a/tests/steps/reply_memory.py
+++ b/tests/steps/reply_memory.py
@@ -1,8 +1,11 @@
 """Steps on the memory of replies that are not complete."""
 
+import base64
 import re
+from collections import Counter
 from typing import Final
 
+import msgspec
 from behave import given, then, when
 from behave.runner import Context
 
@@ -13,6 +16,13 @@
     open_holding,
 )
 from celeryturn.http.reply_memory import ReplyMemory, hold, resize
+from celeryturn.platform.store import Changes, StoreClient
+from celeryturn.settings import Endpoint
+from tests.support.raw_target import RawTarget
+from tests.support.routed import ADDRESS, run
+
+STORED_KEY: Final = 'op/config'
+WAIT_SECONDS: Final = 10.0
 
 _NUMBERS: Final = re.compile(r'\d+')
 
@@ -20,10 +30,12 @@
 class Reply:
     """A reply that is being received.
 
-    :param has_given_way: Whether it was ended since others needed the room.
+    :param may_give_way: Whether it may be ended since others need the room.
+    :param has_given_way: Whether it was.
     """
 
     def __init__(self) -> None:
+        self.may_give_way = True
         self.has_given_way = False
 
     def give_way(self) -> None:
@@ -57,6 +69,15 @@
         assert resize(context.memory, reply, int(size_text))
 
 
+@given('a reply of the store that holds {size_bytes:d} bytes')
+def hold_store_reply(context: Context, size_bytes: int) -> None:
+    """Receive a part of a reply that does not give way."""
+    reply = Reply()
+    reply.may_give_way = False
+    context.held[reply] = size_bytes
+    assert resize(context.memory, reply, size_bytes)
+
+
 @given('{size_bytes:d} bytes of replies that are complete')
 def hold_complete(context: Context, size_bytes: int) -> None:
     """Hold replies until their requests have ended."""
@@ -115,6 +136,38 @@
     assert context.account.waiting
 
 
+@when('the client of the store reads an item of {size_bytes:d} bytes')
+def read_store(context: Context, size_bytes: int) -> None:
+    """Read the item from a server that charges nothing itself."""
+    context.stored = bytes(size_bytes)
+    server = RawTarget(_encode_range(context.stored))
+    context.servers.append(server)
+
+    async def read() -> Changes:
+        store = StoreClient(Endpoint(ADDRESS, await server.start()), Counter())
+        return await store.read(STORED_KEY, WAIT_SECONDS)
+
+    context.changes = run(context, read()).changes
+
+
+@then('it has that item')
+def expect_item(context: Context) -> None:
+    """Check that the item is whole."""
+    assert [change.body for change in context.changes] == [context.stored]
+
+
+def _encode_range(stored: bytes) -> bytes:
+    text = base64.b64encode(stored).decode()
+    entry = {'Key': STORED_KEY, 'Value': text, 'Revision': 1}
+    body = msgspec.json.encode(
+        {'items': [entry], 'HasMore': False, 'CurrentRev': 1}
+    )
+    return b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b' % (
+        len(body),
+        body,
+    )
+
+
 def _open_client(account: ClientAccount) -> None:
     def close() -> None:
         close_holding(account, holding)
