Free what a broken handshake has sent when its connection is closed

Cause: connections that gave way were closed, and their headers stayed. The error of the handshake has a chain of causes, whose tracebacks hold the frames of the parser, and these the headers. The error refers to the connection and is referred to by it, so that only the garbage collector frees them.

Change: when the connection is closed, the bytes that were not parsed and the tracebacks of the whole chain are discarded.

--- a/celeryturn/peers/sockets.py
+++ b/celeryturn/peers/sockets.py
@@ -50,6 +50,7 @@
         """Release what the connection held."""
         close_holding(CLIENT_ACCOUNT, self._holding)
         super().connection_lost(exc)
+        self._discard_received()
 
     def data_received(self, chunk: bytes) -> None:
         """Parse what was received, and charge it."""
@@ -67,6 +68,15 @@
         resize(CLIENT_ACCOUNT, self._holding, held_bytes)
         wait_for_client(CLIENT_ACCOUNT, self._holding)
 
+    def _discard_received(self) -> None:
+        # Objects that refer to each other would keep it until the garbage
+        # collector runs: the parser, and the tracebacks of its errors.
+        self.protocol.reader.buffer.clear()
+        fault: BaseException | None = self.protocol.handshake_exc
+        while fault is not None:
+            fault.__traceback__ = None
+            fault = fault.__cause__ or fault.__context__
+
     def _give_way(self) -> None:
         close_holding(CLIENT_ACCOUNT, self._holding)
         self.transport.abort()
