End a separate process before its scenario closes the event loop

Cause: the scenario on crowds that starts celeryturnd with "requests ahead, and read no answer" killed the process after its event loop was closed. Connections of the stand-ins to it stayed charged to the account of the test process, 33 with 24 MB, so that later scenarios had less room and closed connections of a dead loop.

Change: the process is ended first. What remains charged after a scenario is a failure from now on.

--- a/tests/environment.py
+++ b/tests/environment.py
@@ -6,6 +6,7 @@
 from behave.model import Feature, Scenario
 from behave.runner import Context
 
+from celeryturn.clients.account import CLIENT_ACCOUNT
 from celeryturn.events import log_to
 from examples.fleet import start_fleet, stop_fleet, wait_until_ready
 from tests.support.world import World
@@ -44,7 +45,11 @@
 
 
 def after_scenario(context: Context, scenario: Scenario) -> None:
-    """Close what the scenario opened; a remaining task is a failure."""
+    """Close what the scenario opened; what remains is a failure."""
+    limited = getattr(context, 'limited', None)
+    if limited is not None:
+        # Its connections end before the event loop is closed.
+        limited.end()
     routed = getattr(context, 'routed', None)
     if routed is not None:
         context.loop.run_until_complete(routed.close())
@@ -55,3 +60,5 @@
     left = asyncio.all_tasks(context.loop)
     context.loop.close()
     assert not left, f'tasks remain after the scenario: {left}'
+    held = (CLIENT_ACCOUNT.connection_count, CLIENT_ACCOUNT.used_bytes)
+    assert held == (0, 0), f'connections and bytes remain charged: {held}'
