--- a/tests/forwarding/restarts.feature
+++ b/tests/forwarding/restarts.feature
@@ -12,7 +12,7 @@
       | address                     | from the new entry   |
       | connection_count            | as at first          |
       | connection_share            | computed at each use |
-      | connector                   | as configured        |
+      | connections                 | as configured        |
       | identifier_use              | as at first          |
       | idle                        | as at first          |
       | is_open                     | as at first          |
--- a/tests/http/floods.feature
+++ b/tests/http/floods.feature
@@ -25,6 +25,7 @@
       | a chunk size             | 60     | 40      |
       | trailers                 | 60     | 40      |
       | a body that stalls       | 60     | 40      |
+      | many headers and stall   | 60     | 40      |
 
   Scenario Outline: The daemon of the project's own interface stays within its memory, whose targets do not end their replies
     Given a celeryturnd with 100 MB and 2000 descriptors, and <shards> shards that send <what> without end
@@ -49,3 +50,4 @@
       | a chunk size             | 60     | 40      |
       | trailers                 | 60     | 40      |
       | a body that stalls       | 60     | 40      |
+      | many headers and stall   | 60     | 40      |
--- a/tests/steps/floods.py
+++ b/tests/steps/floods.py
@@ -66,7 +66,10 @@
 
 
 def _start_targets(context: Context, what: str, count: int) -> list[int]:
-    targets = [RawTarget(*FLOODS[what]) for _ in range(count)]
+    first, repeated = FLOODS[what]
+    targets = [
+        RawTarget(first, repeated, stalls=not repeated) for _ in range(count)
+    ]
     context.servers.extend(targets)
     return [run(context, target.start()) for target in targets]
 
--- a/tests/support/floods.py
+++ b/tests/support/floods.py
@@ -1,5 +1,6 @@
 """Replies of faulty targets that do not end."""
 
+import itertools
 from types import MappingProxyType
 from typing import Final, NamedTuple
 
@@ -64,5 +65,8 @@
         'a body that stalls': Flood(
             _head('content-length: 65536') + bytes(STALLED_BYTES), b''
         ),
+        'many headers and stall': Flood(
+            _head('content-length: 16', *itertools.repeat('x: y', 900)), b''
+        ),
     }
 )
--- a/tests/support/raw_target.py
+++ b/tests/support/raw_target.py
@@ -21,11 +21,15 @@
     :param reply: The bytes, after which it closes the connection.
     :param repeated: What it sends after them until the connection is closed;
         empty for nothing.
+    :param stalls: Whether it then waits for its caller to close.
     """
 
-    def __init__(self, reply: bytes, repeated: bytes = b'') -> None:
+    def __init__(
+        self, reply: bytes, repeated: bytes = b'', *, stalls: bool = False
+    ) -> None:
         self.reply = reply
         self.repeated = repeated
+        self.stalls = stalls
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -66,6 +70,8 @@
         while self.repeated:
             writer.write(self.repeated)
             await writer.drain()
+        if self.stalls:
+            await reader.read()
 
 
 async def add_raw_target(
