Do not let large replies push out each other

Read again: a reply that needed room pushed out any larger one, whatever its own size. With more large replies at once than there is room for, the most advanced would be lost each time, and few would ever be complete.

Change: only a reply of up to 64 KB, the size from which the account treats something as large, pushes out the largest. A larger one is dropped itself when it asks for more, as before this work.

--- a/celeryturn/http/reply_memory.py
+++ b/celeryturn/http/reply_memory.py
@@ -8,6 +8,7 @@
 
 from celeryturn.clients.account import (
     CLIENT_ACCOUNT,
+    SMALL_BYTES,
     ClientAccount,
     charge,
     make_room,
@@ -60,13 +61,14 @@
 def resize(memory: ReplyMemory, reply: HeldReply, size_bytes: int) -> bool:
     """Record the size of a reply that is being received.
 
-    If there is no room for it, larger replies give way, since one without end
-    becomes the largest.
+    If there is no room for a small one, larger replies give way, since one
+    without end becomes the largest.  A large one gets no more room: if it
+    pushed out others, the most advanced would never be complete.
 
     :param memory: Memory of all replies.
     :param reply: The reply.
     :param size_bytes: Size of all that it holds.
-    :returns: Whether there is room; ``False`` if no other reply is larger.
+    :returns: Whether there is room.
     """
     drop(memory, reply)
     memory.incoming[reply] = size_bytes
@@ -121,6 +123,8 @@
 
 
 def _drop_larger(memory: ReplyMemory, size_bytes: int) -> bool:
+    if size_bytes > SMALL_BYTES:
+        return False
     sizes = memory.incoming
     droppable = [reply for reply in sizes if reply.may_give_way]
     largest = max(droppable, key=sizes.__getitem__, default=None)
